--- /dev/null
+++ b/cmake/modules/MagnoliastackDependencies.cmake
@@ -0,0 +1,13 @@
+# The libraries that the project builds on, all from Debian 12.
+find_package(Threads REQUIRED)
+find_package(absl REQUIRED)
+find_package(CapnProto REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(gRPC REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(pugixml REQUIRED)
+find_package(Boost REQUIRED COMPONENTS log)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
+find_library(INIH_LIBRARY inih REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
