--- /dev/null
+++ b/lib/proxy/control_plane.hpp
@@ -0,0 +1,167 @@
+// Membership, configuration, shares and operators' changes of one host.
+#ifndef MAGNOLIASTACK_LIB_PROXY_CONTROL_PLANE_HPP
+#define MAGNOLIASTACK_LIB_PROXY_CONTROL_PLANE_HPP
+
+#include "active_fleet.hpp"
+#include "context.hpp"
+
+#include "magnoliastack/configuration/acceptance.hpp"
+#include "magnoliastack/configuration/change.hpp"
+#include "magnoliastack/configuration/keeper.hpp"
+#include "magnoliastack/failover/evidence.hpp"
+#include "magnoliastack/logging/logging.hpp"
+#include "magnoliastack/membership/member_table.hpp"
+#include "magnoliastack/rpc/peer_link.hpp"
+#include "magnoliastack/rpc/platform_link.hpp"
+#include "magnoliastack/share/ledger.hpp"
+#include "magnoliastack/share/slot_keeper.hpp"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliastack::proxy
+{
+
+// Identity and addresses of this host.
+struct control_options
+{
+    base::incarnation m_incarnation;
+    std::string m_peer_address;
+    std::vector<std::string> m_seeds;
+};
+
+// What became of an operator's change.
+struct change_result
+{
+    configuration::change_state m_state =
+        configuration::change_state::unknown;
+    configuration::change_record m_change;
+    std::string m_problem;
+    configuration::acceptance m_acceptance;
+};
+
+// Runs on the event loop. Calls of the platform and of peers return through
+// context::m_post.
+class control_plane
+{
+public:
+    control_plane(context& shared, control_options options,
+                  rpc::platform_link& platform, rpc::peer_link& peers);
+
+    void tick(base::instant now);
+
+    // The configuration in force, or null. Changes its address with each
+    // version.
+    [[nodiscard]] const active_fleet* fleet() const
+    {
+        return m_fleet.get();
+    }
+    [[nodiscard]] const configuration::keeper& keeper() const
+    {
+        return m_keeper;
+    }
+    [[nodiscard]] const membership::member_table& members() const
+    {
+        return m_members;
+    }
+    [[nodiscard]] share::ledger& shares()
+    {
+        return m_ledger;
+    }
+    [[nodiscard]] bool is_confirmed(base::instant now) const
+    {
+        return m_keeper.is_confirmed(now);
+    }
+
+    // Endpoints that are leaving by the platform's list or the peers' word.
+    [[nodiscard]] std::set<base::endpoint_id> leaving_endpoints() const;
+
+    // What the fleet reports of a group, this host included.
+    [[nodiscard]] failover::evidence_list
+    evidence(const base::group_id& group) const;
+
+    // For the own gossip entry.
+    void set_observations(std::vector<rpc::group_observation> groups,
+                          std::vector<base::endpoint_id> leaving);
+
+    // Stores a change and reports how it stands once its fate in the store is
+    // known.
+    void start_change(base::configuration_version based_on,
+                      configuration::content content, std::string change_id,
+                      std::string author,
+                      std::function<void(change_result)> done);
+
+    // Whether a stored version is in force everywhere.
+    configuration::acceptance judge(base::configuration_version version,
+                                    base::instant now);
+
+    // Planned stop, first step: no vote, no lending, marked as leaving.
+    void leave(base::instant now);
+    // Second step, once no request runs: slots are handed back.
+    void release_shares(base::instant now);
+    // True when the slots were released or the store cannot be reached.
+    [[nodiscard]] bool has_left() const;
+    // Tells the platform that the process stops.
+    void announce_gone();
+
+    // Handlers of the peer service.
+    rpc::exchange_message exchange_received(const rpc::exchange_message& what,
+                                            base::instant now);
+    rpc::borrow_response borrow_received(const rpc::borrow_request& what,
+                                         base::instant now);
+    base::result<rpc::configuration_object>
+    configuration_for_peer(base::configuration_version minimum) const;
+
+private:
+    // A change in progress.
+    struct running_change
+    {
+        configuration::change m_change;
+        std::function<void(change_result)> m_done;
+    };
+
+    void tick_configuration(base::instant now);
+    void tick_members(base::instant now);
+    void tick_shares(base::instant now);
+    void tick_changes(base::instant now);
+    void read_configuration_row(base::instant now);
+    void fetch_object(const std::string& hash);
+    void fetch_from_peer(const configuration::fetch_from_peer& what);
+    void refresh_list(base::instant now);
+    void list_received(const rpc::host_list& list, base::instant sent_at);
+    void refresh_fleet(base::instant now);
+    void apply_resources(const active_fleet* old, base::instant now);
+    void carry_out(const std::shared_ptr<running_change>& change,
+                   const configuration::change_action& what);
+    void exchange_answered(const base::host_id& host,
+                           const base::result<rpc::exchange_message>& answer,
+                           base::instant sent_at);
+    void swap_slots(const share::swap_row& what, base::instant now);
+    [[nodiscard]] std::vector<configuration::host_report>
+    reports(base::instant now) const;
+    [[nodiscard]] std::string address_of(const base::host_id& host) const;
+
+    context& m_shared;
+    logging::logger m_log{"control"};
+    control_options m_options;
+    rpc::platform_link& m_platform;
+    rpc::peer_link& m_peers;
+    inventory_checker m_checker;
+    configuration::keeper m_keeper;
+    configuration::acceptance_judge m_judge;
+    membership::member_table m_members;
+    std::unique_ptr<share::slot_keeper> m_slots;
+    share::ledger m_ledger;
+    std::unique_ptr<active_fleet> m_fleet;
+    std::vector<std::shared_ptr<running_change>> m_changes;
+    base::instant m_next_list;
+    bool m_leaving = false;
+    bool m_was_confirmed = false;
+};
+
+} // namespace magnoliastack::proxy
+
+#endif
