--- /dev/null
+++ b/include/magnoliastack/configuration/content.hpp
@@ -0,0 +1,72 @@
+// The fleet's configuration as an immutable object, and the row that names it.
+#ifndef MAGNOLIASTACK_CONFIGURATION_CONTENT_HPP
+#define MAGNOLIASTACK_CONFIGURATION_CONTENT_HPP
+
+#include "magnoliastack/base/error.hpp"
+#include "magnoliastack/base/ids.hpp"
+#include "magnoliastack/credentials/key_record.hpp"
+
+#include <string>
+#include <vector>
+
+namespace magnoliastack::configuration
+{
+
+// Key of the table row that names the configuration in force.
+inline constexpr const char* row_key = "configuration";
+
+// Largest object that is accepted, in bytes; the inventory of 1,300 databases
+// needs less than 1 MB.
+inline constexpr std::size_t max_object_size = 16U << 20U;
+
+// All that operators configure. Contains token secrets: it goes to the store
+// and to peers and is never logged.
+struct content
+{
+    std::string m_inventory_text;
+    std::vector<credentials::key_record> m_keys;
+    // The first one signs session tokens; the others are still accepted.
+    std::vector<std::string> m_token_secrets;
+
+    bool operator==(const content&) const = default;
+};
+
+// The bytes that are stored.
+std::string serialize(const content& value);
+
+// Reads stored bytes; fails with corrupt and never quotes them.
+base::result<content> parse(const std::string& bytes);
+
+// SHA-256 of stored bytes in lower-case hex; the name of their object.
+std::string hash(const std::string& bytes);
+
+// One change of the configuration. Version 0 means that there is none.
+struct change_record
+{
+    base::configuration_version m_version;
+    std::string m_hash;
+    std::string m_change_id;
+    std::string m_author;
+
+    bool operator==(const change_record&) const = default;
+};
+
+// The value of the row: the change in force and, newest first, up to
+// max_recent_changes earlier ones.
+struct row_value
+{
+    change_record m_current;
+    std::vector<change_record> m_recent;
+};
+
+inline constexpr std::size_t max_recent_changes = 16;
+
+// The bytes of a row value.
+std::string serialize(const row_value& value);
+
+// Reads a row value; empty bytes are the row that does not exist yet.
+base::result<row_value> parse_row(const std::string& bytes);
+
+} // namespace magnoliastack::configuration
+
+#endif
--- /dev/null
+++ b/include/magnoliastack/configuration/quorum.hpp
@@ -0,0 +1,85 @@
+// The sets of hosts of which a majority is asked, as derived from the
+// platform's lists.
+#ifndef MAGNOLIASTACK_CONFIGURATION_QUORUM_HPP
+#define MAGNOLIASTACK_CONFIGURATION_QUORUM_HPP
+
+#include "magnoliastack/base/ids.hpp"
+#include "magnoliastack/base/time.hpp"
+#include "magnoliastack/rpc/platform_link.hpp"
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+
+#include <optional>
+#include <vector>
+
+namespace magnoliastack::configuration
+{
+
+// How long a host stays in the quorum set after it disappeared from the list
+// without having left, and how long an old set is remembered. It must exceed
+// the longest partition or outage during which hosts shall go on to serve.
+inline constexpr absl::Duration default_list_retention = absl::Hours(12);
+
+// The number of hosts that is a majority of `size`.
+constexpr std::size_t majority_of(std::size_t size)
+{
+    return size / 2 + 1;
+}
+
+// Remembers quorum sets. The set in force holds the hosts of the last list and
+// those that were listed within the retention and have not left since: the
+// platform drops hosts that it cannot reach, and if these were forgotten at
+// once, both sides of a partition could call themselves a majority. A host
+// that was listed as leaving is forgotten when the list drops it.
+class quorum_history
+{
+public:
+    explicit quorum_history(absl::Duration retention);
+
+    // The platform's list arrived.
+    void hosts_listed(const std::vector<rpc::listed_host>& hosts,
+                      base::instant now);
+
+    // The set in force, empty before the first list and when the last list is
+    // older than the retention.
+    [[nodiscard]] std::vector<base::host_id> current(base::instant now) const;
+
+    // Every distinct set that was in force within the retention.
+    [[nodiscard]] std::vector<absl::btree_set<base::host_id>>
+    remembered(base::instant now) const;
+
+    // Whether the host was listed as leaving and is no longer listed.
+    [[nodiscard]] bool has_left(const base::host_id& host) const;
+
+    // Whether the last list contains the host.
+    [[nodiscard]] bool is_listed(const base::host_id& host) const;
+
+    // When the last list arrived.
+    [[nodiscard]] std::optional<base::instant> last_list() const
+    {
+        return m_last_list;
+    }
+
+private:
+    struct known_host
+    {
+        base::instant m_last_listed;
+        bool m_listed = false;
+        bool m_leaving = false;
+    };
+    struct past_set
+    {
+        absl::btree_set<base::host_id> m_hosts;
+        base::instant m_last_in_force;
+    };
+
+    absl::Duration m_retention;
+    std::optional<base::instant> m_last_list;
+    absl::btree_map<base::host_id, known_host> m_hosts;
+    std::vector<past_set> m_sets;
+};
+
+} // namespace magnoliastack::configuration
+
+#endif
--- /dev/null
+++ b/lib/configuration/quorum.cpp
@@ -0,0 +1,68 @@
+#include "magnoliastack/configuration/quorum.hpp"
+
+namespace magnoliastack::configuration
+{
+
+quorum_history::quorum_history(absl::Duration retention)
+    : m_retention(retention)
+{
+}
+
+void quorum_history::hosts_listed(const std::vector<rpc::listed_host>& hosts,
+                                  base::instant now)
+{
+    m_last_list = now;
+    for (auto& [id, host] : m_hosts)
+        host.m_listed = false;
+    for (const rpc::listed_host& listed : hosts)
+        m_hosts[listed.m_host] = {now, true, listed.m_leaving};
+    absl::erase_if(m_hosts, [&](const auto& item)
+                   { return now - item.second.m_last_listed > m_retention; });
+
+    absl::btree_set<base::host_id> in_force;
+    for (const auto& [id, host] : m_hosts)
+    {
+        if (host.m_listed || !host.m_leaving)
+            in_force.insert(id);
+    }
+    if (m_sets.empty() || m_sets.back().m_hosts != in_force)
+        m_sets.push_back({std::move(in_force), now});
+    m_sets.back().m_last_in_force = now;
+    std::erase_if(m_sets, [&](const past_set& set)
+                  { return now - set.m_last_in_force > m_retention; });
+}
+
+std::vector<base::host_id> quorum_history::current(base::instant now) const
+{
+    if (!m_last_list || now - *m_last_list > m_retention)
+        return {};
+    const auto& hosts = m_sets.back().m_hosts;
+    return {hosts.begin(), hosts.end()};
+}
+
+std::vector<absl::btree_set<base::host_id>>
+quorum_history::remembered(base::instant now) const
+{
+    std::vector<absl::btree_set<base::host_id>> sets;
+    for (const past_set& set : m_sets)
+    {
+        if (now - set.m_last_in_force <= m_retention)
+            sets.push_back(set.m_hosts);
+    }
+    return sets;
+}
+
+bool quorum_history::has_left(const base::host_id& host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second.m_leaving &&
+           !found->second.m_listed;
+}
+
+bool quorum_history::is_listed(const base::host_id& host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second.m_listed;
+}
+
+} // namespace magnoliastack::configuration
