--- /dev/null
+++ b/lib/admission/demand_meter.cpp
@@ -0,0 +1,40 @@
+#include "magnoliastack/admission/demand_meter.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace magnoliastack::admission
+{
+
+demand_meter::demand_meter(demand_meter_options options) : m_options(options)
+{
+}
+
+void demand_meter::arrived(base::instant now)
+{
+    m_rate =
+        arrival_rate(now) + 1.0 / absl::ToDoubleSeconds(m_options.m_average);
+    m_updated = now;
+}
+
+std::uint64_t demand_meter::demand(double rate, double burst,
+                                   std::size_t backlog, base::instant now) const
+{
+    const double wanted =
+        arrival_rate(now) +
+        static_cast<double>(backlog) /
+            absl::ToDoubleSeconds(m_options.m_backlog_horizon);
+    if (wanted < 0.01 || rate <= 0.0)
+        return 0;
+    const double part =
+        std::max(wanted / rate, burst >= 1.0 ? 1.0 / burst : 0.0);
+    return static_cast<std::uint64_t>(std::ceil(std::min(part, 1.0) * 1e6));
+}
+
+double demand_meter::arrival_rate(base::instant now) const
+{
+    return m_rate *
+           std::exp(-absl::FDivDuration(now - m_updated, m_options.m_average));
+}
+
+} // namespace magnoliastack::admission
