--- /dev/null
+++ b/lib/standin_server/endpoint_server.cpp
@@ -0,0 +1,755 @@
+#include "magnoliastack/standin_server/endpoint_server.hpp"
+
+#include "conversion.hpp"
+#include "reactors.hpp"
+#include "work_loop.hpp"
+
+#include "magnoliastack/standin/fault_filter.hpp"
+#include "magnoliastack/v1/endpoint.grpc.pb.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace magnoliastack::standin_server
+{
+
+namespace
+{
+
+using connect_stream = bidi_stream<v1::CallRequest, v1::CallResponse>;
+using monitor_stream = bidi_stream<v1::MonitorRequest, v1::MonitorResponse>;
+
+// Statuses are pushed at most once in this time, so that a burst of writes
+// does not cost a message each.
+constexpr absl::Duration push_interval = absl::Milliseconds(1);
+// A pull waits for 50 ms at the primary; a longer silence is a lost pull.
+constexpr absl::Duration pull_timeout = absl::Milliseconds(500);
+
+// Pulls from the other members; answers come from gRPC's threads.
+class pull_client
+{
+public:
+    using callback = std::function<void(base::result<standin::pull_answer>)>;
+
+    explicit pull_client(
+        const std::map<base::endpoint_id, std::string>& addresses)
+    {
+        grpc::ChannelArguments arguments;
+        // The default backoff of up to two minutes would keep a replica from
+        // a member that has come back.
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
+        for (const auto& [name, address] : addresses)
+            m_stubs[name] = v1::Endpoint::NewStub(grpc::CreateCustomChannel(
+                address, grpc::InsecureChannelCredentials(), arguments));
+    }
+
+    // Cancels what is under way and waits for its callbacks.
+    ~pull_client()
+    {
+        std::unique_lock lock(m_mutex);
+        for (const auto& item : m_under_way)
+            item->m_context.TryCancel();
+        m_changed.wait(lock,
+                       [this]
+                       {
+                           return m_under_way.empty();
+                       });
+    }
+    pull_client(const pull_client&) = delete;
+    pull_client& operator=(const pull_client&) = delete;
+
+    // False when the member's address is not known.
+    bool pull(const base::endpoint_id& member,
+              const standin::pull_request& request, callback done)
+    {
+        const auto found = m_stubs.find(member);
+        if (found == m_stubs.end())
+            return false;
+        auto item = std::make_shared<call>();
+        item->m_request = to_message(request);
+        item->m_context.set_deadline(std::chrono::system_clock::now() +
+                                     absl::ToChronoNanoseconds(pull_timeout));
+        {
+            const std::lock_guard lock(m_mutex);
+            m_under_way.insert(item);
+        }
+        found->second->async()->Pull(
+            &item->m_context, &item->m_request, &item->m_response,
+            [this, item, done = std::move(done)](const grpc::Status& status)
+            {
+                if (status.ok())
+                    done(to_answer(item->m_response));
+                else
+                    done(base::fail(base::error_code::unavailable,
+                                    status.error_message()));
+                const std::lock_guard lock(m_mutex);
+                m_under_way.erase(item);
+                m_changed.notify_all();
+            });
+        return true;
+    }
+
+private:
+    struct call
+    {
+        grpc::ClientContext m_context;
+        v1::PullRequest m_request;
+        v1::PullResponse m_response;
+    };
+
+    std::map<base::endpoint_id, std::unique_ptr<v1::Endpoint::Stub>> m_stubs;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::set<std::shared_ptr<call>> m_under_way;
+};
+
+// Connects the model to gRPC. All state belongs to the loop's thread; the
+// public functions may be called from any thread.
+class endpoint_core
+{
+public:
+    explicit endpoint_core(endpoint_server_options options)
+        : m_filter(), m_model(options.m_model, m_clock.now()),
+          m_pulls(options.m_addresses), m_loop(
+                                            [this](base::instant now)
+                                            {
+                                                return after_work(now);
+                                            })
+    {
+    }
+
+    void connect(const std::shared_ptr<connect_stream>& stream,
+                 const std::string& host)
+    {
+        const base::connection_generation number = next_connection();
+        deliver(host,
+                [this, number, stream, host](base::instant now)
+                {
+                    m_connections[number] = {host, stream};
+                    m_filter.connection_opened(number);
+                    carry_out(m_model.connection_opened(number, now), now);
+                });
+        stream->start(
+            [this, number, host](v1::CallRequest message)
+            {
+                deliver(host,
+                        [this, number,
+                         message = std::move(message)](base::instant now)
+                        {
+                            call_received(number, message, now);
+                        });
+            },
+            [this, number]
+            {
+                // A close is seen even from a peer that is cut off.
+                deliver({},
+                        [this, number](base::instant now)
+                        {
+                            connection_closed(number, now);
+                        });
+            });
+    }
+
+    void monitor(const std::shared_ptr<monitor_stream>& stream,
+                 const std::string& host)
+    {
+        const std::uint64_t number = ++m_last_monitor;
+        m_loop.post(
+            [this, number, stream, host](base::instant /*now*/)
+            {
+                m_monitors[number] = {host, stream, 0};
+            });
+        stream->start(
+            [this, number](v1::MonitorRequest message)
+            {
+                deliver(
+                    {},
+                    [this, number, round = message.round()](base::instant now)
+                    {
+                        round_received(number, round, now);
+                    });
+            },
+            [this, number]
+            {
+                m_loop.post(
+                    [this, number](base::instant /*now*/)
+                    {
+                        m_monitors.erase(number);
+                    });
+            });
+    }
+
+    void seal(const std::shared_ptr<unary_call<v1::SealResponse>>& call,
+              const std::string& host, const v1::SealRequest& request)
+    {
+        deliver(host,
+                [this, call, host, request](base::instant now)
+                {
+                    if (call->is_finished())
+                        return;
+                    const rpc::control_answer answer =
+                        m_model.seal(base::term(request.term()),
+                                     base::host_id(request.promoter()), now);
+                    v1::SealResponse response;
+                    response.set_sealed(answer.m_taken);
+                    *response.mutable_status() = to_message(answer.m_status);
+                    transmit(host,
+                             [call, response]
+                             {
+                                 call->reply(response);
+                             });
+                });
+    }
+
+    void promote(const std::shared_ptr<unary_call<v1::PromoteResponse>>& call,
+                 const std::string& host, const v1::PromoteRequest& request)
+    {
+        deliver(host,
+                [this, call, host, request](base::instant now)
+                {
+                    if (call->is_finished())
+                        return;
+                    const rpc::control_answer answer =
+                        m_model.promote(base::term(request.term()),
+                                        base::host_id(request.promoter()), now);
+                    v1::PromoteResponse response;
+                    response.set_promoted(answer.m_taken);
+                    *response.mutable_status() = to_message(answer.m_status);
+                    transmit(host,
+                             [call, response]
+                             {
+                                 call->reply(response);
+                             });
+                });
+    }
+
+    void pull(const std::shared_ptr<unary_call<v1::PullResponse>>& call,
+              const v1::PullRequest& request)
+    {
+        deliver(request.endpoint(),
+                [this, call, request](base::instant now)
+                {
+                    if (call->is_finished())
+                        return;
+                    const std::uint64_t ticket = ++m_last_ticket;
+                    m_tickets[ticket] = {request.endpoint(), call};
+                    carry_out(
+                        m_model.pull_received(ticket, to_pull(request), now),
+                        now);
+                });
+    }
+
+    void set_faults(
+        const std::shared_ptr<unary_call<v1::StandinControlResponse>>& call,
+        const v1::EndpointFaults& faults)
+    {
+        m_loop.post(
+            [this, call, faults](base::instant now)
+            {
+                apply(faults, now);
+                call->reply({});
+            });
+    }
+
+    void dump(const std::shared_ptr<unary_call<v1::DumpResponse>>& call)
+    {
+        m_loop.post(
+            [this, call](base::instant now)
+            {
+                v1::DumpResponse response;
+                *response.mutable_status() = to_message(m_model.status(now));
+                for (const auto& [key, value] : m_model.log().rows())
+                {
+                    v1::Row& row = *response.add_rows();
+                    row.set_key(key);
+                    row.set_value(value);
+                }
+                m_model.log().for_each_record(
+                    [&response](const standin::request_record& record)
+                    {
+                        *response.add_records() = to_message(record);
+                    });
+                call->reply(std::move(response));
+            });
+    }
+
+private:
+    struct connection_peer
+    {
+        std::string m_host;
+        std::shared_ptr<connect_stream> m_stream;
+    };
+
+    struct monitor_peer
+    {
+        std::string m_host;
+        std::shared_ptr<monitor_stream> m_stream;
+        std::uint64_t m_round = 0;
+    };
+
+    struct pull_peer
+    {
+        std::string m_endpoint;
+        std::shared_ptr<unary_call<v1::PullResponse>> m_call;
+    };
+
+    base::connection_generation next_connection()
+    {
+        return base::connection_generation(++m_last_connection);
+    }
+
+    // Handles what arrives from a peer now, or when the endpoint is no longer
+    // frozen and the peer no longer cut off, as a transport retransmits.
+    void deliver(const std::string& peer, work_loop::work item)
+    {
+        m_loop.post(
+            [this, peer, item = std::move(item)](base::instant now)
+            {
+                hold_or_run(peer, item, now);
+            });
+    }
+
+    // Sends to a peer after the answer delay, under the same conditions.
+    void transmit(const std::string& peer, std::function<void()> send)
+    {
+        const base::instant now = m_clock.now();
+        work_loop::work item = [send = std::move(send)](base::instant /*now*/)
+        {
+            send();
+        };
+        if (m_answer_delay == absl::ZeroDuration())
+        {
+            hold_or_run(peer, std::move(item), now);
+            return;
+        }
+        m_loop.post_at(now + m_answer_delay,
+                       [this, peer, item = std::move(item)](base::instant at)
+                       {
+                           hold_or_run(peer, item, at);
+                       });
+    }
+
+    void hold_or_run(const std::string& peer, work_loop::work item,
+                     base::instant now)
+    {
+        if (m_frozen)
+            m_held_while_frozen.emplace_back(peer, std::move(item));
+        else if (m_filter.is_cut(peer))
+            m_held_while_cut[peer].push_back(std::move(item));
+        else
+            item(now);
+    }
+
+    void call_received(base::connection_generation number,
+                       const v1::CallRequest& message, base::instant now)
+    {
+        auto call = to_call(message);
+        const base::call_id id(message.call_id());
+        if (call)
+        {
+            carry_out(m_model.call_received(number, id, *std::move(call), now),
+                      now);
+            return;
+        }
+        rpc::call_end end;
+        end.m_outcome = rpc::call_outcome::failed;
+        end.m_detail = "the call has no kind or a statement has none";
+        send(number, {id, {}, std::move(end)}, false);
+    }
+
+    void connection_closed(base::connection_generation number,
+                           base::instant now)
+    {
+        m_model.connection_closed(number, now);
+        m_filter.connection_closed(number);
+        m_connections.erase(number);
+    }
+
+    void round_received(std::uint64_t number, std::uint64_t round,
+                        base::instant now)
+    {
+        const auto found = m_monitors.find(number);
+        if (found == m_monitors.end() || m_filter.is_cut(found->second.m_host))
+            return;
+        found->second.m_round = std::max(found->second.m_round, round);
+        send_status(found->second, to_message(m_model.status(now)));
+    }
+
+    void send_status(const monitor_peer& peer, const v1::EndpointStatus& status)
+    {
+        if (m_filter.is_cut(peer.m_host))
+            return;
+        v1::MonitorResponse response;
+        response.set_round(peer.m_round);
+        *response.mutable_status() = status;
+        transmit(peer.m_host,
+                 [stream = peer.m_stream, response]
+                 {
+                     stream->send(response);
+                 });
+    }
+
+    void send(base::connection_generation number, rpc::call_part part,
+              bool write)
+    {
+        const auto found = m_connections.find(number);
+        if (found == m_connections.end())
+            return;
+        auto kept = m_filter.filter(number, std::move(part), write);
+        if (!kept)
+            return;
+        transmit(found->second.m_host,
+                 [stream = found->second.m_stream, message = to_message(*kept)]
+                 {
+                     stream->send(message);
+                 });
+    }
+
+    void carry_out(standin::endpoint_model::actions actions, base::instant now)
+    {
+        for (standin::endpoint_action& action : actions)
+            std::visit(
+                [&](auto& item)
+                {
+                    carry_out_one(item, now);
+                },
+                action);
+    }
+
+    void carry_out_one(const standin::connection_accepted& item,
+                       base::instant /*now*/)
+    {
+        const connection_peer& peer = m_connections.at(item.m_connection);
+        v1::CallResponse ready;
+        ready.set_ready(true);
+        transmit(peer.m_host,
+                 [stream = peer.m_stream, ready]
+                 {
+                     stream->send(ready);
+                 });
+    }
+
+    void carry_out_one(const standin::connection_refused& item,
+                       base::instant /*now*/)
+    {
+        const connection_peer& peer = m_connections.at(item.m_connection);
+        const auto code = item.m_leaving ? grpc::StatusCode::UNAVAILABLE
+                                         : grpc::StatusCode::RESOURCE_EXHAUSTED;
+        transmit(
+            peer.m_host,
+            [stream = peer.m_stream, status = grpc::Status(code, item.m_reason)]
+            {
+                stream->finish(status);
+            });
+    }
+
+    void carry_out_one(standin::send_part& item, base::instant /*now*/)
+    {
+        send(item.m_connection, std::move(item.m_part), item.m_write);
+    }
+
+    void carry_out_one(const standin::answer_pull& item, base::instant /*now*/)
+    {
+        auto found = m_tickets.extract(item.m_ticket);
+        if (found.empty())
+            return;
+        transmit(
+            found.mapped().m_endpoint,
+            [call = found.mapped().m_call, message = to_message(item.m_answer)]
+            {
+                call->reply(message);
+            });
+    }
+
+    void carry_out_one(const standin::send_pull& item, base::instant now)
+    {
+        const auto answered = [this, from = item.m_to, number = item.m_number](
+                                  base::result<standin::pull_answer> answer)
+        {
+            deliver({},
+                    [this, from, number, answer](base::instant at)
+                    {
+                        pull_answered(from, number, answer, at);
+                    });
+        };
+        if (!m_filter.is_cut(item.m_to.str()) &&
+            m_pulls.pull(item.m_to, item.m_request, answered))
+            return;
+        m_loop.post_at(now + pull_timeout,
+                       [answered](base::instant /*at*/)
+                       {
+                           answered(no_answer());
+                       });
+    }
+
+    void pull_answered(const base::endpoint_id& from, std::uint64_t number,
+                       base::result<standin::pull_answer> answer,
+                       base::instant now)
+    {
+        if (m_filter.is_cut(from.str()))
+            answer = no_answer();
+        carry_out(m_model.pull_answered(from, number, std::move(answer), now),
+                  now);
+    }
+
+    static base::result<standin::pull_answer> no_answer()
+    {
+        return base::fail(base::error_code::unavailable,
+                          "no answer from the member");
+    }
+
+    void apply(const v1::EndpointFaults& faults, base::instant now)
+    {
+        if (faults.has_answer_delay_ms())
+            m_answer_delay = absl::Milliseconds(faults.answer_delay_ms());
+        if (faults.has_apply_delay_ms())
+            m_model.set_apply_delay(
+                absl::Milliseconds(faults.apply_delay_ms()));
+        if (faults.has_replication_delay_ms())
+            m_model.set_replication_delay(
+                absl::Milliseconds(faults.replication_delay_ms()));
+        if (faults.silence_open_connections())
+            m_filter.silence_open_connections();
+        if (faults.has_drop_write_answers())
+            m_filter.drop_write_answers(faults.drop_write_answers());
+        if (faults.has_cross_answers())
+            m_filter.cross_answers(faults.cross_answers());
+        if (faults.has_leaving())
+            m_model.set_leaving(faults.leaving(), now);
+        if (faults.set_cut())
+            m_filter.set_cut({faults.cut().begin(), faults.cut().end()});
+        if (faults.has_frozen())
+            m_frozen = faults.frozen();
+        release_held(now);
+    }
+
+    // Handles what a freeze or cut that has ended was holding back.
+    void release_held(base::instant now)
+    {
+        if (m_frozen)
+            return;
+        for (auto& [peer, item] : std::exchange(m_held_while_frozen, {}))
+            hold_or_run(peer, std::move(item), now);
+        for (auto& [peer, items] : std::exchange(m_held_while_cut, {}))
+            for (work_loop::work& item : items)
+                hold_or_run(peer, std::move(item), now);
+    }
+
+    std::optional<base::instant> after_work(base::instant now)
+    {
+        if (m_frozen)
+            return std::nullopt;
+        carry_out(m_model.tick(now), now);
+        std::optional<base::instant> next = m_model.next_event();
+        if (const auto push = push_status(now);
+            push && (!next || *push < *next))
+            next = push;
+        return next;
+    }
+
+    // Tells the monitors of a change; returns when to try again.
+    std::optional<base::instant> push_status(base::instant now)
+    {
+        const rpc::endpoint_status status = m_model.status(now);
+        const auto key = std::make_tuple(
+            status.m_accepted_term, status.m_sealed_term, status.m_role,
+            status.m_held, status.m_applied, status.m_leaving);
+        if (key == m_pushed)
+            return std::nullopt;
+        if (now < m_last_push + push_interval)
+            return m_last_push + push_interval;
+        m_pushed = key;
+        m_last_push = now;
+        const v1::EndpointStatus message = to_message(status);
+        for (const auto& [number, peer] : m_monitors)
+            if (peer.m_round > 0)
+                send_status(peer, message);
+        return std::nullopt;
+    }
+
+    base::system_clock m_clock;
+    std::atomic<std::uint64_t> m_last_connection = 0;
+    std::atomic<std::uint64_t> m_last_monitor = 0;
+
+    bool m_frozen = false;
+    absl::Duration m_answer_delay;
+    standin::fault_filter m_filter;
+    standin::endpoint_model m_model;
+    std::map<base::connection_generation, connection_peer> m_connections;
+    std::map<std::uint64_t, monitor_peer> m_monitors;
+    std::uint64_t m_last_ticket = 0;
+    std::map<std::uint64_t, pull_peer> m_tickets;
+    std::vector<std::pair<std::string, work_loop::work>> m_held_while_frozen;
+    std::map<std::string, std::vector<work_loop::work>> m_held_while_cut;
+    std::tuple<base::term, base::term, rpc::endpoint_role, base::log_point,
+               base::log_position, bool>
+        m_pushed;
+    base::instant m_last_push;
+    pull_client m_pulls;
+    // Destroyed first, so that no work runs on destroyed state.
+    work_loop m_loop;
+};
+
+class endpoint_service final : public v1::Endpoint::CallbackService
+{
+public:
+    explicit endpoint_service(endpoint_core& core) : m_core(&core)
+    {
+    }
+
+    grpc::ServerBidiReactor<v1::CallRequest, v1::CallResponse>*
+    Connect(grpc::CallbackServerContext* context) override
+    {
+        const auto stream = connect_stream::make();
+        m_core->connect(stream, host_of(*context));
+        return stream.get();
+    }
+    grpc::ServerBidiReactor<v1::MonitorRequest, v1::MonitorResponse>*
+    Monitor(grpc::CallbackServerContext* context) override
+    {
+        const auto stream = monitor_stream::make();
+        m_core->monitor(stream, host_of(*context));
+        return stream.get();
+    }
+    grpc::ServerUnaryReactor* Seal(grpc::CallbackServerContext* context,
+                                   const v1::SealRequest* request,
+                                   v1::SealResponse* response) override
+    {
+        const auto call = unary_call<v1::SealResponse>::make(response);
+        m_core->seal(call, host_of(*context), *request);
+        return call.get();
+    }
+    grpc::ServerUnaryReactor* Promote(grpc::CallbackServerContext* context,
+                                      const v1::PromoteRequest* request,
+                                      v1::PromoteResponse* response) override
+    {
+        const auto call = unary_call<v1::PromoteResponse>::make(response);
+        m_core->promote(call, host_of(*context), *request);
+        return call.get();
+    }
+    grpc::ServerUnaryReactor* Pull(grpc::CallbackServerContext* /*context*/,
+                                   const v1::PullRequest* request,
+                                   v1::PullResponse* response) override
+    {
+        const auto call = unary_call<v1::PullResponse>::make(response);
+        m_core->pull(call, *request);
+        return call.get();
+    }
+
+private:
+    endpoint_core* m_core;
+};
+
+class control_service final : public v1::EndpointStandinControl::CallbackService
+{
+public:
+    explicit control_service(endpoint_core& core) : m_core(&core)
+    {
+    }
+
+    grpc::ServerUnaryReactor*
+    SetFaults(grpc::CallbackServerContext* /*context*/,
+              const v1::EndpointFaults* request,
+              v1::StandinControlResponse* response) override
+    {
+        const auto call =
+            unary_call<v1::StandinControlResponse>::make(response);
+        m_core->set_faults(call, *request);
+        return call.get();
+    }
+    grpc::ServerUnaryReactor* Dump(grpc::CallbackServerContext* /*context*/,
+                                   const v1::DumpRequest* /*request*/,
+                                   v1::DumpResponse* response) override
+    {
+        const auto call = unary_call<v1::DumpResponse>::make(response);
+        m_core->dump(call);
+        return call.get();
+    }
+
+private:
+    endpoint_core* m_core;
+};
+
+} // namespace
+
+class endpoint_server::implementation
+{
+public:
+    explicit implementation(endpoint_server_options options)
+        : m_core(std::move(options)), m_service(m_core), m_control(m_core)
+    {
+    }
+    ~implementation()
+    {
+        if (!m_server)
+            return;
+        // Open streams are cancelled at once.
+        m_server->Shutdown(std::chrono::system_clock::now());
+        m_server->Wait();
+    }
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    bool listen(const std::string& address)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.AddListeningPort(address, grpc::InsecureServerCredentials(),
+                                 &m_port);
+        builder.RegisterService(&m_service);
+        builder.RegisterService(&m_control);
+        m_server = builder.BuildAndStart();
+        return m_server != nullptr && m_port != 0;
+    }
+    [[nodiscard]] int port() const
+    {
+        return m_port;
+    }
+
+private:
+    endpoint_core m_core;
+    endpoint_service m_service;
+    control_service m_control;
+    int m_port = 0;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+base::result<std::unique_ptr<endpoint_server>>
+endpoint_server::start(endpoint_server_options options)
+{
+    const std::string address = options.m_address;
+    auto inner = std::make_unique<implementation>(std::move(options));
+    if (!inner->listen(address))
+        return base::fail(
+            base::error_code::unavailable,
+            absl::StrCat("cannot listen on ", address, ", choose a free port"));
+    return std::unique_ptr<endpoint_server>(
+        new endpoint_server(std::move(inner)));
+}
+
+endpoint_server::endpoint_server(std::unique_ptr<implementation> inner)
+    : m_inner(std::move(inner))
+{
+}
+
+endpoint_server::~endpoint_server() = default;
+
+int endpoint_server::port() const
+{
+    return m_inner->port();
+}
+
+} // namespace magnoliastack::standin_server
