--- a/include/magnoliastack/membership/member_table.hpp
+++ b/include/magnoliastack/membership/member_table.hpp
@@ -93,8 +93,8 @@
     std::vector<outgoing_exchange> tick(base::instant now);
 
     // A peer's request arrived; returns the answer.
-    rpc::exchange_message exchange_received(const rpc::exchange_message& message,
-                                            base::instant now);
+    rpc::exchange_message
+    exchange_received(const rpc::exchange_message& message, base::instant now);
 
     // A peer answered. sent_at is the instant before this host's request.
     void answer_received(const base::host_id& host,
--- a/lib/configuration/acceptance.cpp
+++ b/lib/configuration/acceptance.cpp
@@ -53,8 +53,8 @@
     drop_oldest(m_row_seen);
 }
 
-std::optional<base::instant> acceptance_judge::row_known_since(
-    base::configuration_version version) const
+std::optional<base::instant>
+acceptance_judge::row_known_since(base::configuration_version version) const
 {
     const auto found = m_row_seen.lower_bound(version);
     if (found == m_row_seen.end())
@@ -80,9 +80,12 @@
     const auto sets = m_quorum.remembered(now);
     for (const auto& set : sets)
     {
-        const auto others = std::count_if(
-            set.begin(), set.end(), [&](const base::host_id& host)
-            { return !holders.contains(host) && !m_quorum.has_left(host); });
+        const auto others = std::count_if(set.begin(), set.end(),
+                                          [&](const base::host_id& host)
+                                          {
+                                              return !holders.contains(host) &&
+                                                     !m_quorum.has_left(host);
+                                          });
         if (static_cast<std::size_t>(others) >= majority_of(set.size()))
             return false;
     }
@@ -119,8 +122,9 @@
         state.m_since = now;
 }
 
-absl::btree_set<base::host_id> acceptance_judge::proven_holders(
-    const evidence& state, const std::vector<host_report>& reports) const
+absl::btree_set<base::host_id>
+acceptance_judge::proven_holders(const evidence& state,
+                                 const std::vector<host_report>& reports) const
 {
     absl::btree_set<base::host_id> proven;
     for (const auto& [host, held] : state.m_holders)
@@ -173,9 +177,8 @@
     // unknown here.
     const bool list_is_new =
         row_since && m_list_sent_at && *m_list_sent_at >= *row_since;
-    answer.m_accepted =
-        answer.m_pending.empty() && row_since &&
-        (others_stopped || (all_announced && list_is_new));
+    answer.m_accepted = answer.m_pending.empty() && row_since &&
+                        (others_stopped || (all_announced && list_is_new));
     if (m_evidence.size() > max_versions)
         drop_oldest(m_evidence);
     return answer;
--- a/lib/configuration/change.cpp
+++ b/lib/configuration/change.cpp
@@ -119,25 +119,24 @@
     if (!parsed)
         return finish(change_state::invalid, {}, parsed.error().m_message);
     const change_record& current = parsed->m_current;
-    if (const change_record* same =
-            find_change(*parsed, m_change.m_change_id))
+    if (const change_record* same = find_change(*parsed, m_change.m_change_id))
     {
         if (same->m_hash == m_change.m_hash)
             return finish(change_state::stored, *same, "");
-        return finish(change_state::invalid, *same,
-                      absl::StrCat("change id \"", m_change.m_change_id,
-                                   "\" was used for another content in version ",
-                                   same->m_version.value(),
-                                   ", use a new change id"));
+        return finish(
+            change_state::invalid, *same,
+            absl::StrCat("change id \"", m_change.m_change_id,
+                         "\" was used for another content in version ",
+                         same->m_version.value(), ", use a new change id"));
     }
     if (current.m_version != m_base)
-        return finish(
-            change_state::conflict, current,
-            absl::StrCat("change \"", current.m_change_id, "\" of \"",
-                         current.m_author, "\" made version ",
-                         current.m_version.value(),
-                         ", this change is based on version ", m_base.value(),
-                         "; repeat it on the version in force"));
+        return finish(change_state::conflict, current,
+                      absl::StrCat("change \"", current.m_change_id, "\" of \"",
+                                   current.m_author, "\" made version ",
+                                   current.m_version.value(),
+                                   ", this change is based on version ",
+                                   m_base.value(),
+                                   "; repeat it on the version in force"));
     m_row = row;
     m_row_value = *parsed;
     advance(m_put_done ? step::swap : step::put);
--- a/lib/configuration/content.cpp
+++ b/lib/configuration/content.cpp
@@ -89,10 +89,9 @@
 {
     std::string digest(EVP_MAX_MD_SIZE, '\0');
     unsigned int size = 0;
-    const int done =
-        EVP_Digest(bytes.data(), bytes.size(),
-                   reinterpret_cast<unsigned char*>(digest.data()), &size,
-                   EVP_sha256(), nullptr);
+    const int done = EVP_Digest(bytes.data(), bytes.size(),
+                                reinterpret_cast<unsigned char*>(digest.data()),
+                                &size, EVP_sha256(), nullptr);
     MAGNOLIASTACK_INVARIANT(done == 1, "SHA-256 is available");
     digest.resize(size);
     return absl::BytesToHexString(digest);
--- a/lib/configuration/keeper.cpp
+++ b/lib/configuration/keeper.cpp
@@ -250,8 +250,11 @@
     }
     m_problem.clear();
     m_active = active_configuration{change, std::move(*parsed), bytes};
-    absl::erase_if(m_holders, [&](const auto& item)
-                   { return item.second <= change.m_version; });
+    absl::erase_if(m_holders,
+                   [&](const auto& item)
+                   {
+                       return item.second <= change.m_version;
+                   });
     return true;
 }
 
--- a/lib/configuration/quorum.cpp
+++ b/lib/configuration/quorum.cpp
@@ -16,8 +16,11 @@
         host.m_listed = false;
     for (const rpc::listed_host& listed : hosts)
         m_hosts[listed.m_host] = {now, true, listed.m_leaving};
-    absl::erase_if(m_hosts, [&](const auto& item)
-                   { return now - item.second.m_last_listed > m_retention; });
+    absl::erase_if(m_hosts,
+                   [&](const auto& item)
+                   {
+                       return now - item.second.m_last_listed > m_retention;
+                   });
 
     absl::btree_set<base::host_id> in_force;
     for (const auto& [id, host] : m_hosts)
@@ -28,8 +31,11 @@
     if (m_sets.empty() || m_sets.back().m_hosts != in_force)
         m_sets.push_back({std::move(in_force), now});
     m_sets.back().m_last_in_force = now;
-    std::erase_if(m_sets, [&](const past_set& set)
-                  { return now - set.m_last_in_force > m_retention; });
+    std::erase_if(m_sets,
+                  [&](const past_set& set)
+                  {
+                      return now - set.m_last_in_force > m_retention;
+                  });
 }
 
 std::vector<base::host_id> quorum_history::current(base::instant now) const
--- a/lib/credentials/digest.cpp
+++ b/lib/credentials/digest.cpp
@@ -32,9 +32,8 @@
 std::string random_bytes(std::size_t count)
 {
     std::string bytes(count, '\0');
-    const int done =
-        RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
-                   static_cast<int>(bytes.size()));
+    const int done = RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
+                                static_cast<int>(bytes.size()));
     // A key from a generator that is not seeded could be guessed.
     MAGNOLIASTACK_INVARIANT(done == 1, "the random generator is seeded");
     return bytes;
--- a/lib/credentials/key_ring.cpp
+++ b/lib/credentials/key_ring.cpp
@@ -47,7 +47,8 @@
     if (!text.starts_with(prefix) || text[prefix.size() + id_length] != '_' ||
         !is_lower_hex(id) || !is_lower_hex(secret))
         return std::nullopt;
-    return parsed_key{std::string(id), absl::HexStringToBytes(std::string(secret))};
+    return parsed_key{std::string(id),
+                      absl::HexStringToBytes(std::string(secret))};
 }
 
 } // namespace
@@ -71,10 +72,9 @@
     const bool known = found != m_records.end();
     const key_record& record = known ? found->second : m_absent;
     const std::string digest = salted_digest(record.m_salt, parsed->m_secret);
-    const bool equal =
-        record.m_digest.size() == digest.size() &&
-        CRYPTO_memcmp(record.m_digest.data(), digest.data(), digest.size()) ==
-            0;
+    const bool equal = record.m_digest.size() == digest.size() &&
+                       CRYPTO_memcmp(record.m_digest.data(), digest.data(),
+                                     digest.size()) == 0;
     if (!known || !equal)
         return base::fail(base::error_code::unauthenticated,
                           "organisation key is unknown or withdrawn, use a "
--- a/lib/membership/estimated_size.cpp
+++ b/lib/membership/estimated_size.cpp
@@ -46,10 +46,11 @@
 std::size_t estimated_size(const rpc::exchange_message& message)
 {
     return std::accumulate(message.m_entries.begin(), message.m_entries.end(),
-                           message_overhead +
-                               text_size(message.m_sender.str()),
+                           message_overhead + text_size(message.m_sender.str()),
                            [](std::size_t sum, const rpc::member_entry& entry)
-                           { return sum + estimated_size(entry); });
+                           {
+                               return sum + estimated_size(entry);
+                           });
 }
 
 } // namespace magnoliastack::membership
--- a/lib/membership/member_table.cpp
+++ b/lib/membership/member_table.cpp
@@ -255,14 +255,14 @@
 
 bool member_table::is_full_exchange() const
 {
-    const auto present = std::count_if(
-        m_records.begin(), m_records.end(),
-        [](const auto& item)
-        {
-            const member& known = item.second.m_member;
-            return known.m_listed ||
-                   known.m_entry.m_state != rpc::member_state::dead;
-        });
+    const auto present =
+        std::count_if(m_records.begin(), m_records.end(),
+                      [](const auto& item)
+                      {
+                          const member& known = item.second.m_member;
+                          return known.m_listed || known.m_entry.m_state !=
+                                                       rpc::member_state::dead;
+                      });
     return static_cast<std::size_t>(present) + 1 <=
            m_options.m_full_exchange_limit;
 }
@@ -350,8 +350,8 @@
         mark_changed(known);
     }
     // What this host has just heard directly outweighs an accusation.
-    const bool heard = now - known.m_member.m_last_news <
-                       m_options.m_suspect_after;
+    const bool heard =
+        now - known.m_member.m_last_news < m_options.m_suspect_after;
     if (is_accusation(entry.m_state) && !known.m_suspect_since &&
         (restarted || !heard))
     {
@@ -396,10 +396,10 @@
 
 void member_table::defend_self(const rpc::member_entry& entry)
 {
-    const bool accused = entry.m_incarnation == m_self.m_incarnation &&
-                         is_accusation(entry.m_state) &&
-                         (entry.m_state == rpc::member_state::dead ||
-                          !is_full_exchange());
+    const bool accused =
+        entry.m_incarnation == m_self.m_incarnation &&
+        is_accusation(entry.m_state) &&
+        (entry.m_state == rpc::member_state::dead || !is_full_exchange());
     if (!accused && entry.m_incarnation <= m_self.m_incarnation)
         return;
     m_self.m_incarnation = entry.m_incarnation.next();
@@ -416,16 +416,15 @@
         known.m_member.m_entry.m_state = state;
         mark_changed(known);
     }
-    absl::erase_if(m_records,
-                   [&](const auto& item)
-                   {
-                       const member& known = item.second.m_member;
-                       return !known.m_listed &&
-                              known.m_entry.m_state ==
-                                  rpc::member_state::dead &&
-                              now - known.m_last_news >
-                                  m_options.m_forget_after;
-                   });
+    absl::erase_if(
+        m_records,
+        [&](const auto& item)
+        {
+            const member& known = item.second.m_member;
+            return !known.m_listed &&
+                   known.m_entry.m_state == rpc::member_state::dead &&
+                   now - known.m_last_news > m_options.m_forget_after;
+        });
 }
 
 void member_table::skip_pause(base::instant now)
@@ -446,8 +445,8 @@
     const absl::Duration elapsed =
         m_last_tick ? now - *m_last_tick : absl::ZeroDuration();
     const auto budget = static_cast<double>(m_options.m_byte_budget);
-    m_tokens = std::min(budget, m_tokens +
-                                    budget * absl::ToDoubleSeconds(elapsed));
+    m_tokens =
+        std::min(budget, m_tokens + budget * absl::ToDoubleSeconds(elapsed));
     m_last_tick = now;
 }
 
@@ -470,8 +469,7 @@
     m_tokens = std::max(-budget, m_tokens - static_cast<double>(size));
 }
 
-rpc::exchange_message
-member_table::build_message(const base::host_id& receiver)
+rpc::exchange_message member_table::build_message(const base::host_id& receiver)
 {
     rpc::exchange_message message;
     message.m_sender = m_self.m_host;
@@ -493,8 +491,8 @@
                                        const base::host_id& receiver)
 {
     const double room = m_tokens - static_cast<double>(estimated_size(message));
-    std::size_t left =
-        std::min(max_entries_size, static_cast<std::size_t>(std::max(0.0, room)));
+    std::size_t left = std::min(max_entries_size,
+                                static_cast<std::size_t>(std::max(0.0, room)));
     const auto add = [&](const rpc::member_entry& entry, std::size_t& sends)
     {
         const std::size_t size = estimated_size(entry);
@@ -521,7 +519,9 @@
     }
     std::sort(changed.begin(), changed.end(),
               [](const record* one, const record* other)
-              { return one->m_change < other->m_change; });
+              {
+                  return one->m_change < other->m_change;
+              });
     for (record* known : changed)
     {
         if (!add(known->m_member.m_entry, known->m_sends_left))
@@ -581,9 +581,9 @@
 {
     if (m_contact_period <= absl::ZeroDuration() || m_records.empty())
         return;
-    m_contacts_due += static_cast<double>(m_records.size()) *
-                      absl::FDivDuration(m_options.m_exchange_interval,
-                                         m_contact_period);
+    m_contacts_due +=
+        static_cast<double>(m_records.size()) *
+        absl::FDivDuration(m_options.m_exchange_interval, m_contact_period);
     m_contacts_due =
         std::min(m_contacts_due, static_cast<double>(m_records.size()));
     auto next = m_records.upper_bound(m_last_visited);
@@ -607,7 +607,9 @@
         const bool known = std::any_of(
             m_records.begin(), m_records.end(),
             [&](const auto& item)
-            { return item.second.m_member.m_entry.m_peer_address == address; });
+            {
+                return item.second.m_member.m_entry.m_peer_address == address;
+            });
         if (known || address == m_self.m_peer_address)
             continue;
         outgoing_exchange exchange{base::host_id(), address,
