--- a/include/magnoliastack/credentials/key_ring.hpp
+++ b/include/magnoliastack/credentials/key_ring.hpp
@@ -33,6 +33,12 @@
     [[nodiscard]] base::result<verified_key>
     verify(std::string_view key_text) const;
 
+    // True while the key has not been withdrawn.
+    [[nodiscard]] bool contains(const base::key_id& id) const
+    {
+        return m_records.contains(id);
+    }
+
     [[nodiscard]] std::size_t size() const
     {
         return m_records.size();
--- a/include/magnoliastack/proxy/core.hpp
+++ b/include/magnoliastack/proxy/core.hpp
@@ -88,9 +88,9 @@
     void status(std::function<void(host_status)> done) override;
     void start_drain(std::function<void()> done) override;
 
-    void handle_exchange(
-        rpc::exchange_message message,
-        std::function<void(rpc::exchange_message)> reply) override;
+    void
+    handle_exchange(rpc::exchange_message message,
+                    std::function<void(rpc::exchange_message)> reply) override;
     void
     handle_borrow(rpc::borrow_request request,
                   std::function<void(rpc::borrow_response)> reply) override;
--- a/include/magnoliastack/request/machine.hpp
+++ b/include/magnoliastack/request/machine.hpp
@@ -147,8 +147,7 @@
     action fire(std::string_view what, base::instant now);
     action give_up(base::refusal_reason reason, absl::Duration retry_delay,
                    std::string detail);
-    action retry(retry_reason reason, std::string_view what,
-                 base::instant now);
+    action retry(retry_reason reason, std::string_view what, base::instant now);
     action answered(rpc::call_end end, std::vector<rpc::row> rows,
                     base::instant now);
     action probe_ended(rpc::call_end end, std::vector<rpc::row> rows,
--- a/lib/proxy/caller_server.cpp
+++ b/lib/proxy/caller_server.cpp
@@ -257,7 +257,8 @@
         return refuse(invalid("the first step must be begin"));
     switch (m_step.step_case())
     {
-    case v1::TransactRequest::kStatement: {
+    case v1::TransactRequest::kStatement:
+    {
         auto item = wire::from_proto(m_step.statement());
         if (!item.has_value())
         {
--- a/lib/proxy/control_plane.cpp
+++ b/lib/proxy/control_plane.cpp
@@ -115,11 +115,14 @@
                         [](const base::result<bool>&) {});
     m_platform.list_hosts(
         platform_timeout,
-        [this, sent_at = now](base::result<rpc::host_list> answer) {
-            m_shared.m_post([this, sent_at, answer = std::move(answer)] {
-                if (answer.has_value())
-                    list_received(*answer, sent_at);
-            });
+        [this, sent_at = now](base::result<rpc::host_list> answer)
+        {
+            m_shared.m_post(
+                [this, sent_at, answer = std::move(answer)]
+                {
+                    if (answer.has_value())
+                        list_received(*answer, sent_at);
+                });
         });
 }
 
@@ -143,7 +146,8 @@
     {
         if (std::holds_alternative<configuration::read_row>(what))
             read_configuration_row(now);
-        else if (const auto* get = std::get_if<configuration::get_object>(&what))
+        else if (const auto* get =
+                     std::get_if<configuration::get_object>(&what))
             fetch_object(get->m_hash);
         else if (const auto* peer =
                      std::get_if<configuration::fetch_from_peer>(&what))
@@ -164,16 +168,19 @@
     m_shared.m_metrics.counter("platform.reads").add(1);
     m_platform.read_row(
         configuration::row_key, platform_timeout,
-        [this, sent_at = now](base::result<rpc::row_state> answer) {
-            m_shared.m_post([this, sent_at, answer = std::move(answer)] {
-                const base::instant at = m_shared.m_clock.now();
-                m_keeper.row_read(answer, sent_at);
-                if (!answer.has_value())
-                    return;
-                const auto row = configuration::parse_row(answer->m_value);
-                if (row.has_value())
-                    m_judge.row_seen(row->m_current.m_version, at);
-            });
+        [this, sent_at = now](base::result<rpc::row_state> answer)
+        {
+            m_shared.m_post(
+                [this, sent_at, answer = std::move(answer)]
+                {
+                    const base::instant at = m_shared.m_clock.now();
+                    m_keeper.row_read(answer, sent_at);
+                    if (!answer.has_value())
+                        return;
+                    const auto row = configuration::parse_row(answer->m_value);
+                    if (row.has_value())
+                        m_judge.row_seen(row->m_current.m_version, at);
+                });
         });
 }
 
@@ -182,10 +189,13 @@
     m_shared.m_metrics.counter("platform.reads").add(1);
     m_platform.get_object(
         hash, platform_timeout,
-        [this, hash](base::result<std::optional<std::string>> answer) {
-            m_shared.m_post([this, hash, answer = std::move(answer)] {
-                m_keeper.object_read(hash, answer, m_shared.m_clock.now());
-            });
+        [this, hash](base::result<std::optional<std::string>> answer)
+        {
+            m_shared.m_post(
+                [this, hash, answer = std::move(answer)]
+                {
+                    m_keeper.object_read(hash, answer, m_shared.m_clock.now());
+                });
         });
 }
 
@@ -193,23 +203,25 @@
 {
     m_peers.fetch_configuration(
         address_of(what.m_host), what.m_minimum_version, peer_timeout,
-        [this, host = what.m_host](
-            base::result<rpc::configuration_object> answer) {
-            m_shared.m_post([this, host, answer = std::move(answer)] {
-                m_keeper.peer_object_read(host, answer,
-                                          m_shared.m_clock.now());
-            });
+        [this,
+         host = what.m_host](base::result<rpc::configuration_object> answer)
+        {
+            m_shared.m_post(
+                [this, host, answer = std::move(answer)]
+                {
+                    m_keeper.peer_object_read(host, answer,
+                                              m_shared.m_clock.now());
+                });
         });
 }
 
 void control_plane::refresh_fleet(base::instant now)
 {
     const configuration::active_configuration* active = m_keeper.active();
-    if (active == nullptr ||
-        (m_fleet && m_fleet->m_change == active->m_change))
+    if (active == nullptr || (m_fleet && m_fleet->m_change == active->m_change))
         return;
-    auto parsed = inventory::parse_inventory(
-        active->m_content.m_inventory_text, "inventory");
+    auto parsed = inventory::parse_inventory(active->m_content.m_inventory_text,
+                                             "inventory");
     // The keeper has checked the content before it came into force.
     if (!parsed.has_value())
         return;
@@ -253,9 +265,8 @@
                                       share::resource_kind::units, 0, now);
     }
     for (const auto& [id, item] : present.m_organisations)
-        m_ledger.set_resource(rate_resource(id),
-                              share::resource_kind::fraction, share::whole,
-                              now);
+        m_ledger.set_resource(rate_resource(id), share::resource_kind::fraction,
+                              share::whole, now);
     for (const auto& [id, item] : present.m_endpoints)
         m_ledger.set_resource(connection_resource(id),
                               share::resource_kind::units, item.m_connections,
@@ -269,11 +280,13 @@
         m_peers.exchange(
             item.m_address, item.m_message, peer_timeout,
             [this, host = item.m_host,
-             sent_at = now](base::result<rpc::exchange_message> answer) {
-                m_shared.m_post([this, host, sent_at,
-                                 answer = std::move(answer)] {
-                    exchange_answered(host, answer, sent_at);
-                });
+             sent_at = now](base::result<rpc::exchange_message> answer)
+            {
+                m_shared.m_post(
+                    [this, host, sent_at, answer = std::move(answer)]
+                    {
+                        exchange_answered(host, answer, sent_at);
+                    });
             });
     }
 }
@@ -329,12 +342,14 @@
             m_shared.m_metrics.counter("platform.reads").add(1);
             m_platform.read_row(
                 share::slots_row_key, platform_timeout,
-                [this, sent_at = now](base::result<rpc::row_state> answer) {
-                    m_shared.m_post([this, sent_at,
-                                     answer = std::move(answer)] {
-                        m_slots->row_read(answer, sent_at,
-                                          m_shared.m_clock.now());
-                    });
+                [this, sent_at = now](base::result<rpc::row_state> answer)
+                {
+                    m_shared.m_post(
+                        [this, sent_at, answer = std::move(answer)]
+                        {
+                            m_slots->row_read(answer, sent_at,
+                                              m_shared.m_clock.now());
+                        });
                 });
         }
         else if (const auto* swap = std::get_if<share::swap_row>(&what))
@@ -360,25 +375,30 @@
             m_peers.borrow(
                 address_of(ask->m_host), ask->m_request, peer_timeout,
                 [this, ask = *ask,
-                 sent_at = now](base::result<rpc::borrow_response> answer) {
-                    m_shared.m_post([this, ask, sent_at,
-                                     answer = std::move(answer)] {
-                        m_ledger.borrow_answered(ask.m_host, ask.m_request,
-                                                 answer, sent_at,
-                                                 m_shared.m_clock.now());
-                    });
+                 sent_at = now](base::result<rpc::borrow_response> answer)
+                {
+                    m_shared.m_post(
+                        [this, ask, sent_at, answer = std::move(answer)]
+                        {
+                            m_ledger.borrow_answered(ask.m_host, ask.m_request,
+                                                     answer, sent_at,
+                                                     m_shared.m_clock.now());
+                        });
                 });
         }
         else if (const auto* back = std::get_if<share::return_loan>(&what))
         {
             m_peers.give_back_loan(
                 address_of(back->m_host), back->m_message, peer_timeout,
-                [this, back = *back](base::result<bool> answer) {
-                    m_shared.m_post([this, back, answer = std::move(answer)] {
-                        m_ledger.give_back_answered(
-                            back.m_host, back.m_message, answer,
-                            m_shared.m_clock.now());
-                    });
+                [this, back = *back](base::result<bool> answer)
+                {
+                    m_shared.m_post(
+                        [this, back, answer = std::move(answer)]
+                        {
+                            m_ledger.give_back_answered(back.m_host,
+                                                        back.m_message, answer,
+                                                        m_shared.m_clock.now());
+                        });
                 });
         }
     }
@@ -390,10 +410,13 @@
     m_platform.compare_and_swap(
         share::slots_row_key, what.m_expected_version, what.m_value,
         platform_timeout,
-        [this, sent_at = now](base::result<rpc::swap_outcome> answer) {
-            m_shared.m_post([this, sent_at, answer = std::move(answer)] {
-                m_slots->swap_done(answer, sent_at, m_shared.m_clock.now());
-            });
+        [this, sent_at = now](base::result<rpc::swap_outcome> answer)
+        {
+            m_shared.m_post(
+                [this, sent_at, answer = std::move(answer)]
+                {
+                    m_slots->swap_done(answer, sent_at, m_shared.m_clock.now());
+                });
         });
 }
 
@@ -405,8 +428,7 @@
 }
 
 base::result<rpc::configuration_object>
-control_plane::configuration_for_peer(
-    base::configuration_version minimum) const
+control_plane::configuration_for_peer(base::configuration_version minimum) const
 {
     const configuration::active_configuration* active = m_keeper.active();
     if (active == nullptr || active->m_change.m_version < minimum)
@@ -436,21 +458,22 @@
         for (const configuration::change_action& what :
              item->m_change.tick(now))
             carry_out(item, what);
-    const auto done = [](const std::shared_ptr<running_change>& item) {
+    const auto done = [](const std::shared_ptr<running_change>& item)
+    {
         return item->m_change.state() != configuration::change_state::running;
     };
     for (const std::shared_ptr<running_change>& item : m_changes)
     {
         if (!done(item))
             continue;
-        change_result result{item->m_change.state(), item->m_change.outcome(),
+        change_result result{item->m_change.state(),
+                             item->m_change.outcome(),
                              item->m_change.problem(),
                              {}};
         if (result.m_state == configuration::change_state::stored)
         {
             m_judge.row_seen(result.m_change.m_version, now);
-            m_keeper.version_heard(m_shared.m_self,
-                                   result.m_change.m_version);
+            m_keeper.version_heard(m_shared.m_self, result.m_change.m_version);
             result.m_acceptance = judge(result.m_change.m_version, now);
         }
         item->m_done(std::move(result));
@@ -464,14 +487,16 @@
     if (const auto* put = std::get_if<configuration::put_content>(&what))
     {
         m_shared.m_metrics.counter("platform.writes").add(1);
-        m_platform.put_object(
-            put->m_hash, put->m_bytes, platform_timeout,
-            [this, change](base::result<bool> answer) {
-                m_shared.m_post([this, change, answer = std::move(answer)] {
-                    change->m_change.content_put(answer,
-                                                 m_shared.m_clock.now());
-                });
-            });
+        m_platform.put_object(put->m_hash, put->m_bytes, platform_timeout,
+                              [this, change](base::result<bool> answer)
+                              {
+                                  m_shared.m_post(
+                                      [this, change, answer = std::move(answer)]
+                                      {
+                                          change->m_change.content_put(
+                                              answer, m_shared.m_clock.now());
+                                      });
+                              });
     }
     else if (const auto* swap = std::get_if<configuration::swap_row>(&what))
     {
@@ -479,23 +504,29 @@
         m_platform.compare_and_swap(
             configuration::row_key, swap->m_expected_row_version, swap->m_value,
             platform_timeout,
-            [this, change](base::result<rpc::swap_outcome> answer) {
-                m_shared.m_post([this, change, answer = std::move(answer)] {
-                    change->m_change.row_swapped(answer,
-                                                 m_shared.m_clock.now());
-                });
+            [this, change](base::result<rpc::swap_outcome> answer)
+            {
+                m_shared.m_post(
+                    [this, change, answer = std::move(answer)]
+                    {
+                        change->m_change.row_swapped(answer,
+                                                     m_shared.m_clock.now());
+                    });
             });
     }
     else
     {
         m_shared.m_metrics.counter("platform.reads").add(1);
-        m_platform.read_row(
-            configuration::row_key, platform_timeout,
-            [this, change](base::result<rpc::row_state> answer) {
-                m_shared.m_post([this, change, answer = std::move(answer)] {
-                    change->m_change.row_read(answer, m_shared.m_clock.now());
-                });
-            });
+        m_platform.read_row(configuration::row_key, platform_timeout,
+                            [this, change](base::result<rpc::row_state> answer)
+                            {
+                                m_shared.m_post(
+                                    [this, change, answer = std::move(answer)]
+                                    {
+                                        change->m_change.row_read(
+                                            answer, m_shared.m_clock.now());
+                                    });
+                            });
     }
 }
 
@@ -539,9 +570,8 @@
     return list;
 }
 
-void control_plane::set_observations(
-    std::vector<rpc::group_observation> groups,
-    std::vector<base::endpoint_id> leaving)
+void control_plane::set_observations(std::vector<rpc::group_observation> groups,
+                                     std::vector<base::endpoint_id> leaving)
 {
     m_members.set_groups(std::move(groups));
     m_members.set_leaving_endpoints(std::move(leaving));
@@ -571,8 +601,7 @@
 
 bool control_plane::has_left() const
 {
-    return !m_slots || m_slots->is_released() ||
-           !m_keeper.is_store_reachable();
+    return !m_slots || m_slots->is_released() || !m_keeper.is_store_reachable();
 }
 
 void control_plane::announce_gone()
--- a/lib/proxy/control_plane.hpp
+++ b/lib/proxy/control_plane.hpp
@@ -36,8 +36,7 @@
 // What became of an operator's change.
 struct change_result
 {
-    configuration::change_state m_state =
-        configuration::change_state::unknown;
+    configuration::change_state m_state = configuration::change_state::unknown;
     configuration::change_record m_change;
     std::string m_problem;
     configuration::acceptance m_acceptance;
--- a/lib/proxy/core_state.cpp
+++ b/lib/proxy/core_state.cpp
@@ -52,8 +52,7 @@
 }
 
 core::state::state(core_options options, core_links links)
-    : m_post(links.m_post), m_options(std::move(options)),
-      m_sink(links.m_post),
+    : m_post(links.m_post), m_options(std::move(options)), m_sink(links.m_post),
       m_shared{links.m_clock,
                m_options.m_self,
                m_options.m_failure_domain,
@@ -104,8 +103,8 @@
         for (const base::endpoint_id& name : description.m_endpoints)
             endpoints.push_back(*present.find(name));
         const auto old = m_groups.find(id);
-        const bool same = old != m_groups.end() &&
-                          old->second->has_endpoints(endpoints);
+        const bool same =
+            old != m_groups.end() && old->second->has_endpoints(endpoints);
         if (same)
             next[id] = std::move(old->second);
         else
@@ -150,7 +149,8 @@
         }
     }
     std::sort(seen.begin(), seen.end(),
-              [](const auto& left, const auto& right) {
+              [](const auto& left, const auto& right)
+              {
                   return left.m_group < right.m_group;
               });
     std::sort(leaving.begin(), leaving.end());
@@ -191,7 +191,8 @@
 {
     using base::refusal_reason;
     const auto refused = [](refusal_reason reason, std::string detail,
-                            absl::Duration delay = absl::ZeroDuration()) {
+                            absl::Duration delay = absl::ZeroDuration())
+    {
         return tl::make_unexpected(not_run(reason, delay, std::move(detail)));
     };
     if (m_draining)
@@ -215,8 +216,8 @@
         if (!verified.has_value())
             return tl::make_unexpected(std::move(refusal));
     }
-    auto session = fleet->m_codec.decode(
-        token, result.m_authority.m_organisation);
+    auto session =
+        fleet->m_codec.decode(token, result.m_authority.m_organisation);
     if (!session.has_value())
         return refused(refusal_reason::token_rejected,
                        session.error().m_message);
@@ -227,14 +228,16 @@
     return result;
 }
 
-base::result<base::key_id>
-core::state::check_key(const std::string& key, const inventory::route& route,
-                       authorised& result, base::refusal& refusal,
-                       base::instant now)
+base::result<base::key_id> core::state::check_key(const std::string& key,
+                                                  const inventory::route& route,
+                                                  authorised& result,
+                                                  base::refusal& refusal,
+                                                  base::instant now)
 {
     using base::refusal_reason;
     const auto refused = [&refusal](refusal_reason reason, std::string detail,
-                                    absl::Duration delay) {
+                                    absl::Duration delay)
+    {
         refusal = not_run(reason, delay, std::move(detail));
         return base::fail(base::error_code::unauthenticated, "refused");
     };
@@ -251,8 +254,8 @@
     const active_fleet& fleet = *m_control.fleet();
     auto verified = fleet.m_keys.verify(key);
     if (!verified.has_value())
-        return refused(refusal_reason::key_rejected,
-                       verified.error().m_message, absl::ZeroDuration());
+        return refused(refusal_reason::key_rejected, verified.error().m_message,
+                       absl::ZeroDuration());
     const auto& allowed = route.m_organisations;
     if (!allowed.empty() &&
         std::find(allowed.begin(), allowed.end(), verified->m_organisation) ==
@@ -282,9 +285,8 @@
         return route->m_access == inventory::access::open;
     const auto& allowed = route->m_organisations;
     return m_control.is_confirmed(now) && fleet->m_keys.contains(what.m_key) &&
-           (allowed.empty() ||
-            std::find(allowed.begin(), allowed.end(), what.m_organisation) !=
-                allowed.end());
+           (allowed.empty() || std::find(allowed.begin(), allowed.end(),
+                                         what.m_organisation) != allowed.end());
 }
 
 void core::state::admit(const authorised& who, base::instant deadline,
@@ -296,8 +298,8 @@
         return run(now);
     m_gate.ask(
         *who.m_organisation, deadline,
-        [this, reply, run = std::move(run)](bool admitted,
-                                            absl::Duration delay) {
+        [this, reply, run = std::move(run)](bool admitted, absl::Duration delay)
+        {
             if (admitted)
                 return run(m_shared.m_clock.now());
             refuse(reply, not_run(base::refusal_reason::rate_exceeded, delay,
@@ -314,8 +316,8 @@
     if (m_jobs.size() + m_gate.waiting() >= m_options.m_max_requests)
         return refuse(reply, not_run(base::refusal_reason::queue_full,
                                      refusal_delay, "the host is full"));
-    auto who = authorise(request.m_key, request.m_route,
-                         request.m_session_token, now);
+    auto who =
+        authorise(request.m_key, request.m_route, request.m_session_token, now);
     if (!who.has_value())
         return refuse(reply, who.error());
     const bool write = writes(request.m_statements);
@@ -339,7 +341,8 @@
     what.m_max_staleness = who->m_route->m_staleness;
     what.m_session = std::move(who->m_session);
     what.m_session.m_organisation = what.m_authority.m_organisation;
-    auto run = [this, reply, what = std::move(what)](base::instant at) {
+    auto run = [this, reply, what = std::move(what)](base::instant at)
+    {
         m_retries.attempt_started();
         auto job = std::make_shared<execute_job>(*this, what, reply);
         m_jobs[job.get()] = job;
@@ -353,8 +356,8 @@
                               const std::shared_ptr<caller_reply>& reply)
 {
     const base::instant now = m_shared.m_clock.now();
-    auto who = authorise(request.m_key, request.m_route,
-                         request.m_session_token, now);
+    auto who =
+        authorise(request.m_key, request.m_route, request.m_session_token, now);
     if (!who.has_value())
     {
         refuse(reply, who.error());
@@ -367,7 +370,8 @@
     what.m_session.m_organisation = what.m_authority.m_organisation;
     what.m_deadline = request.m_deadline;
     auto job = std::make_shared<transaction_job>(*this, std::move(what), reply);
-    auto run = [this, job](base::instant at) {
+    auto run = [this, job](base::instant at)
+    {
         m_retries.attempt_started();
         m_jobs[job.get()] = job;
         job->begin(at);
@@ -413,8 +417,7 @@
     // Open connections have to be known before any are lent, and the buckets
     // have to be cut before the borrower can count its loan.
     apply_shares(now);
-    const rpc::borrow_response answer =
-        m_control.borrow_received(request, now);
+    const rpc::borrow_response answer = m_control.borrow_received(request, now);
     apply_shares(now);
     return answer;
 }
@@ -473,13 +476,16 @@
     if (next.m_token_secrets.empty())
         next.m_token_secrets.push_back(credentials::new_token_secret());
     // A key of an organisation that is gone would be dead weight.
-    std::erase_if(next.m_keys, [&parsed](const auto& key) {
-        return parsed->find(key.m_organisation) == nullptr;
-    });
+    std::erase_if(next.m_keys,
+                  [&parsed](const auto& key)
+                  {
+                      return parsed->find(key.m_organisation) == nullptr;
+                  });
     m_control.start_change(request.m_based_on, std::move(next),
                            std::move(request.m_label.m_change_id),
                            std::move(request.m_label.m_author),
-                           [done](const change_result& result) {
+                           [done](const change_result& result)
+                           {
                                done(report(result));
                            });
 }
@@ -532,7 +538,8 @@
     m_control.start_change(
         fleet->m_change.m_version, std::move(next),
         std::move(label.m_change_id), std::move(label.m_author),
-        [done, text = std::move(key.m_text)](const change_result& result) {
+        [done, text = std::move(key.m_text)](const change_result& result)
+        {
             issued_key_report issued{report(result), {}};
             if (result.m_state == configuration::change_state::stored)
                 issued.m_key_text = text;
@@ -554,11 +561,15 @@
     }
     configuration::content next = present_content();
     std::erase_if(next.m_keys,
-                  [&key](const auto& item) { return item.m_id == key; });
+                  [&key](const auto& item)
+                  {
+                      return item.m_id == key;
+                  });
     m_control.start_change(fleet->m_change.m_version, std::move(next),
                            std::move(label.m_change_id),
                            std::move(label.m_author),
-                           [done](const change_result& result) {
+                           [done](const change_result& result)
+                           {
                                done(report(result));
                            });
 }
@@ -586,7 +597,8 @@
     for (auto& [id, group] : m_groups)
         status.m_groups.push_back(group->status(now));
     std::sort(status.m_groups.begin(), status.m_groups.end(),
-              [](const auto& left, const auto& right) {
+              [](const auto& left, const auto& right)
+              {
                   return left.m_group < right.m_group;
               });
     return status;
--- a/lib/proxy/core_state.hpp
+++ b/lib/proxy/core_state.hpp
@@ -12,6 +12,7 @@
 
 #include "magnoliastack/admission/backoff.hpp"
 #include "magnoliastack/admission/retry_budget.hpp"
+#include "magnoliastack/credentials/issue.hpp"
 #include "magnoliastack/proxy/core.hpp"
 
 #include "absl/container/flat_hash_map.h"
@@ -92,8 +93,7 @@
     context& shared() override;
     request::retry_policy& retries() override;
     group_runtime* find_group(const base::group_id& id) override;
-    bool is_still_authorised(const authority& what,
-                             base::instant now) override;
+    bool is_still_authorised(const authority& what, base::instant now) override;
     base::result<std::string>
     encode(const session::session_state& state) override;
     void job_finished(const job& what) override;
--- a/lib/proxy/endpoint_runtime.cpp
+++ b/lib/proxy/endpoint_runtime.cpp
@@ -62,8 +62,8 @@
                              m_limit.limit(), what->deadline(), now))
         return what->cannot_run(base::refusal_reason::deadline_unreachable,
                                 absl::Milliseconds(100), now);
-    const auto pushed = m_queue.push(organisation, what, what->deadline(),
-                                     what->cost(), now);
+    const auto pushed =
+        m_queue.push(organisation, what, what->deadline(), what->cost(), now);
     if (!pushed.has_value())
         return what->cannot_run(pushed.error(), absl::Milliseconds(100), now);
     dispatch(now);
@@ -221,8 +221,8 @@
     dispatch(now);
 }
 
-void endpoint_runtime::connection_closed(
-    base::connection_generation connection, const base::error& reason)
+void endpoint_runtime::connection_closed(base::connection_generation connection,
+                                         const base::error& reason)
 {
     const base::instant now = m_shared.m_clock.now();
     m_connections.erase(connection);
@@ -306,8 +306,7 @@
     load.m_same_failure_domain =
         m_description.m_failure_domain == m_shared.m_failure_domain;
     load.m_in_flight = m_calls_in_flight + m_queue.size();
-    load.m_has_connection =
-        m_pool.idle_count() > 0 || m_pool.taken_count() > 0;
+    load.m_has_connection = m_pool.idle_count() > 0 || m_pool.taken_count() > 0;
     return load;
 }
 
--- a/lib/proxy/endpoint_runtime.hpp
+++ b/lib/proxy/endpoint_runtime.hpp
@@ -62,8 +62,8 @@
 
     // Sends another call on a connection that a job has kept. False when the
     // connection is gone.
-    bool send_on(base::connection_generation connection,
-                 const rpc::call& what, base::instant now);
+    bool send_on(base::connection_generation connection, const rpc::call& what,
+                 base::instant now);
 
     // A job gives a kept connection back, or has it closed when its state is
     // uncertain.
@@ -109,8 +109,8 @@
     void start(std::shared_ptr<job> what, base::term term, base::instant now);
     void send(base::connection_generation connection, taken& holder,
               const rpc::call& what, base::instant now);
-    void finish_call(base::connection_generation connection,
-                     rpc::call_end end, base::instant now);
+    void finish_call(base::connection_generation connection, rpc::call_end end,
+                     base::instant now);
     void lose(base::connection_generation connection, base::instant now);
     [[nodiscard]] std::uint32_t calls_in_flight() const
     {
--- a/lib/proxy/event_loop.cpp
+++ b/lib/proxy/event_loop.cpp
@@ -30,7 +30,11 @@
 
 void event_loop::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread(
+        [this]
+        {
+            run();
+        });
 }
 
 void event_loop::post(task what)
@@ -60,7 +64,10 @@
 {
     base::instant next_tick = m_clock.now() + m_interval;
     std::vector<task> batch;
-    const auto has_work = [this] { return m_stopping || !m_tasks.empty(); };
+    const auto has_work = [this]
+    {
+        return m_stopping || !m_tasks.empty();
+    };
     bool stopping = false;
     while (!stopping)
     {
--- a/lib/proxy/execute_job.cpp
+++ b/lib/proxy/execute_job.cpp
@@ -91,8 +91,7 @@
         apply(m_machine.refused(reason, retry_delay), now);
 }
 
-bool execute_job::check_commit(const group::group_view& view,
-                               base::instant now)
+bool execute_job::check_commit(const group::group_view& view, base::instant now)
 {
     if (m_machine.is_finished())
         return true;
@@ -100,8 +99,8 @@
     if (!m_request.m_what.m_write)
     {
         const routing::answer_verdict verdict =
-            routing::check_answer(requirements(), m_grant.m_endpoint,
-                                  m_awaited, view, m_sent_at, now);
+            routing::check_answer(requirements(), m_grant.m_endpoint, m_awaited,
+                                  view, m_sent_at, now);
         if (verdict == routing::answer_verdict::retry)
         {
             apply(m_machine.answer_rejected(now), now);
@@ -141,7 +140,9 @@
                      std::string(to_string(m_machine.last_retry())))
             .add(1);
         m_host.shared().m_timers.schedule(
-            item->m_until, [self = shared_from_this()] {
+            item->m_until,
+            [self = shared_from_this()]
+            {
                 if (!self->m_machine.is_finished())
                     self->apply(self->m_machine.backed_off(),
                                 self->m_host.shared().m_clock.now());
@@ -170,7 +171,9 @@
 void execute_job::schedule_deadline()
 {
     m_host.shared().m_timers.schedule(
-        deadline(), [weak = weak_from_this()] {
+        deadline(),
+        [weak = weak_from_this()]
+        {
             const std::shared_ptr<execute_job> self = weak.lock();
             if (self && !self->m_machine.is_finished())
                 self->apply(self->m_machine.expired(),
@@ -219,8 +222,7 @@
 void execute_job::finish(const request::refuse& outcome)
 {
     m_host.shared()
-        .m_metrics
-        .counter(metrics::refusal_counter(outcome.m_refusal.m_reason))
+        .m_metrics.counter(metrics::refusal_counter(outcome.m_refusal.m_reason))
         .add(1);
     m_reply->refuse(outcome.m_refusal);
     m_host.job_finished(*this);
--- a/lib/proxy/group_runtime.cpp
+++ b/lib/proxy/group_runtime.cpp
@@ -53,8 +53,8 @@
     submit_since(std::move(what), now, now);
 }
 
-void group_runtime::submit_since(std::shared_ptr<job> what,
-                                 base::instant since, base::instant now)
+void group_runtime::submit_since(std::shared_ptr<job> what, base::instant since,
+                                 base::instant now)
 {
     if (!what->is_wanted(now))
         return;
@@ -77,8 +77,8 @@
     return primary;
 }
 
-void group_runtime::submit_write(std::shared_ptr<job> what,
-                                 base::instant since, base::instant now)
+void group_runtime::submit_write(std::shared_ptr<job> what, base::instant since,
+                                 base::instant now)
 {
     const std::optional<base::endpoint_id> primary = usable_primary(now);
     endpoint_runtime* target =
@@ -193,15 +193,19 @@
                 [alive = std::weak_ptr(m_alive), post = m_shared.m_post,
                  term = seal->m_term](
                     const base::endpoint_id& id,
-                    const base::result<rpc::control_answer>& answer) {
-                    post([alive, id, term, answer] {
-                        const auto self = alive.lock();
-                        if (!self)
-                            return;
-                        group_runtime& group = **self;
-                        group.carry_out(group.m_failover.seal_answered(
-                            id, term, answer, group.m_shared.m_clock.now()));
-                    });
+                    const base::result<rpc::control_answer>& answer)
+                {
+                    post(
+                        [alive, id, term, answer]
+                        {
+                            const auto self = alive.lock();
+                            if (!self)
+                                return;
+                            group_runtime& group = **self;
+                            group.carry_out(group.m_failover.seal_answered(
+                                id, term, answer,
+                                group.m_shared.m_clock.now()));
+                        });
                 });
         }
         else if (const auto* promote =
@@ -214,15 +218,19 @@
                 [alive = std::weak_ptr(m_alive), post = m_shared.m_post,
                  term = promote->m_term](
                     const base::endpoint_id& id,
-                    const base::result<rpc::control_answer>& answer) {
-                    post([alive, id, term, answer] {
-                        const auto self = alive.lock();
-                        if (!self)
-                            return;
-                        group_runtime& group = **self;
-                        group.carry_out(group.m_failover.promote_answered(
-                            id, term, answer, group.m_shared.m_clock.now()));
-                    });
+                    const base::result<rpc::control_answer>& answer)
+                {
+                    post(
+                        [alive, id, term, answer]
+                        {
+                            const auto self = alive.lock();
+                            if (!self)
+                                return;
+                            group_runtime& group = **self;
+                            group.carry_out(group.m_failover.promote_answered(
+                                id, term, answer,
+                                group.m_shared.m_clock.now()));
+                        });
                 });
         }
         else if (const auto* done = std::get_if<failover::promoted>(&what))
@@ -265,8 +273,7 @@
     for (const inventory::endpoint& item : endpoints)
     {
         const auto found = m_endpoints.find(item.m_id);
-        if (found == m_endpoints.end() ||
-            found->second->description() != item)
+        if (found == m_endpoints.end() || found->second->description() != item)
             return false;
     }
     return true;
--- a/lib/proxy/rate_gate.cpp
+++ b/lib/proxy/rate_gate.cpp
@@ -86,9 +86,9 @@
         apply_share(*who, gate, now);
         admit_waiting(gate, now);
         m_shares.demand(resource_of(id),
-                        gate.m_demand.demand(
-                            who->m_rate, static_cast<double>(who->m_burst),
-                            gate.m_waiting.size(), now),
+                        gate.m_demand.demand(who->m_rate,
+                                             static_cast<double>(who->m_burst),
+                                             gate.m_waiting.size(), now),
                         now);
     }
     // What waits for an organisation that is gone is refused when its time
--- a/lib/proxy/transaction_job.cpp
+++ b/lib/proxy/transaction_job.cpp
@@ -27,7 +27,9 @@
 void transaction_job::begin(base::instant now)
 {
     m_host.shared().m_timers.schedule(
-        deadline(), [weak = weak_from_this()] {
+        deadline(),
+        [weak = weak_from_this()]
+        {
             const std::shared_ptr<transaction_job> self = weak.lock();
             if (!self || self->m_phase == phase::over)
                 return;
@@ -148,8 +150,8 @@
 placement transaction_job::where() const
 {
     return {true,
-            {m_what.m_session.position_of(m_what.m_group),
-             absl::ZeroDuration(), deadline()}};
+            {m_what.m_session.position_of(m_what.m_group), absl::ZeroDuration(),
+             deadline()}};
 }
 
 bool transaction_job::is_wanted(base::instant now)
@@ -164,8 +166,7 @@
     return false;
 }
 
-rpc::call transaction_job::start_call(const grant& what,
-                                      base::instant /*now*/)
+rpc::call transaction_job::start_call(const grant& what, base::instant /*now*/)
 {
     m_term = what.m_term;
     if (m_phase == phase::committing)
@@ -220,7 +221,9 @@
     }
     m_host.shared().m_metrics.counter("retried.wrong_term").add(1);
     m_host.shared().m_timers.schedule(
-        now + *delay, [weak = weak_from_this()] {
+        now + *delay,
+        [weak = weak_from_this()]
+        {
             const std::shared_ptr<transaction_job> self = weak.lock();
             if (!self || self->m_phase != phase::opening)
                 return;
@@ -244,8 +247,7 @@
         abort(reason, std::move(end.m_detail), now);
         return true;
     }
-    const base::log_point needed =
-        m_what.m_session.position_of(m_what.m_group);
+    const base::log_point needed = m_what.m_session.position_of(m_what.m_group);
     // A primary of an older term than the session's last write lacks it.
     if (end.m_point.m_term < needed.m_term ||
         end.m_point.m_position < needed.m_position)
@@ -335,7 +337,9 @@
     else if (const auto* item = std::get_if<request::back_off>(&what))
     {
         m_host.shared().m_timers.schedule(
-            item->m_until, [self = shared_from_this()] {
+            item->m_until,
+            [self = shared_from_this()]
+            {
                 if (!self->m_commit->is_finished())
                     self->apply(self->m_commit->backed_off(),
                                 self->m_host.shared().m_clock.now());
--- a/lib/request/machine.cpp
+++ b/lib/request/machine.cpp
@@ -125,8 +125,7 @@
     case rpc::call_outcome::failed:
         m_may_have_run = false;
         m_refusal = {base::refusal_reason::statement_failed, execution(),
-                     absl::ZeroDuration(),
-                     std::move(end.m_detail)};
+                     absl::ZeroDuration(), std::move(end.m_detail)};
         return fire(event::failed, now);
     case rpc::call_outcome::not_found:
     case rpc::call_outcome::unspecified:
@@ -218,14 +217,13 @@
     return fire(event::deadline, base::instant());
 }
 
-action machine::refused(base::refusal_reason reason,
-                        absl::Duration retry_delay)
+action machine::refused(base::refusal_reason reason, absl::Duration retry_delay)
 {
     return give_up(reason, retry_delay, "");
 }
 
-action machine::give_up(base::refusal_reason reason,
-                        absl::Duration retry_delay, std::string detail)
+action machine::give_up(base::refusal_reason reason, absl::Duration retry_delay,
+                        std::string detail)
 {
     m_refusal = {reason, execution(), retry_delay, std::move(detail)};
     return fire(event::refused, base::instant());
--- a/utils/lint.sh
+++ b/utils/lint.sh
@@ -1,28 +1,31 @@
 #!/usr/bin/env bash
 # Checks the format of all sources and runs the linter on all translation
-# units; results of unchanged units are taken from a cache. Needs a configured
-# build folder (utils/build.sh).
+# units; results of unchanged units are taken from a cache. Needs a finished
+# build (utils/build.sh), because the build knows which headers a unit uses.
 set -eu
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 mapfile -t sources < <(git ls-files --cached --others --exclude-standard \
-    '*.cpp' '*.hpp' | grep -v '^proto/generated/')
+    '*.cpp' '*.hpp' | grep -v '/generated/')
 clang-format --dry-run --Werror "${sources[@]}"
 
 cache=${XDG_CACHE_HOME:-$HOME/.cache}/magnoliastack-lint
 mkdir -p "$cache"
-export build cache
-# A unit is linted again when it, any header of the project or the linter's
-# settings have changed.
-headers=$(git ls-files --cached --others --exclude-standard '*.hpp' \
-    .clang-tidy | sort | xargs cat | sha256sum | cut -c1-32)
-export headers
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+# One line for each unit: the source, then the project's files that it reads.
+ninja -C "$build" -t deps | awk '
+    /^[^ ].*#deps/ { if (line) print line; line = "" }
+    /^ +\.\.\// { sub(/^ +\.\.\//, ""); line = line ? line " " $0 : $0 }
+    END { if (line) print line }' | sort -u >"$work/units"
+export build cache work
 lint_one() {
-    key=$(printf '%s %s' "$headers" "$(sha256sum <"$1")" | sha256sum |
-        cut -c1-40)
+    files=$(grep -m 1 "^$1 " "$work/units" || echo "$1")
+    # shellcheck disable=SC2086
+    key=$(cat .clang-tidy $files | sha256sum | cut -c1-40)
     [ -e "$cache/$key" ] && return 0
     out=$(clang-tidy --quiet -p "$build" "$1" 2>&1) || {
-        printf '%s\n' "$out"
+        printf '%s\n' "$out" | grep -v 'warnings generated'
         return 1
     }
     : >"$cache/$key"
