--- a/lib/standin/endpoint_model.cpp
+++ b/lib/standin/endpoint_model.cpp
@@ -233,6 +233,15 @@
     }
     if (batch.m_term > m_accepted)
     {
+        // The log may have grown since the pull was sent. Dropping entries
+        // that the primary has, even if only to take them again, could drop
+        // the copy that makes up a majority.
+        if (!batch.m_entries.empty() &&
+            m_log.contains(batch.m_entries.front().m_point))
+        {
+            m_replicator.reset();
+            return;
+        }
         // What lies after the agreed entry is not in the new primary's log.
         const base::log_position kept = batch.m_after.m_position;
         m_log.truncate(kept);
