Fix peer client crash when a connection is dropped

The cause, found with a debugger, was a lambda passed as an lvalue to kj::Promise::then, which stores a reference to it; the handlers are now temporaries. Ruled out: the order in which the RPC system and its network are destroyed. The generated header of the stored configuration is now a system header, so the linter skips it as it does those below proto/.

--- a/lib/configuration/content.cpp
+++ b/lib/configuration/content.cpp
@@ -1,6 +1,6 @@
 #include "magnoliastack/configuration/content.hpp"
 
-#include "generated/stored_configuration.pb.h"
+#include "stored_configuration.pb.h"
 
 #include "magnoliastack/base/invariant.hpp"
 
--- a/lib/peer/client.cpp
+++ b/lib/peer/client.cpp
@@ -45,16 +45,16 @@
         {
             return opened.m_network->onDisconnect();
         });
-    auto removed = [this, address, &opened]()
-    {
-        drop(address, opened);
-    };
     m_tasks.add(watched
-                    .then(removed,
-                          [removed](kj::Exception&&)
-                          {
-                              removed();
-                          })
+                    .then(
+                        [this, address, &opened]()
+                        {
+                            drop(address, opened);
+                        },
+                        [this, address, &opened](kj::Exception&&)
+                        {
+                            drop(address, opened);
+                        })
                     .attach(kj::addRef(*made)));
     return kj::mv(made);
 }
--- a/lib/peer/client.hpp
+++ b/lib/peer/client.hpp
@@ -27,6 +27,9 @@
     client(const node_options& options, transport& streams,
            kj::Network& network, kj::Timer& timer);
 
+    // KJ's handler interface has no virtual destructor of its own.
+    virtual ~client() = default;
+
     // Runs a call and reports its outcome. `start` sends the request on the
     // given interface and promises the value.
     template <typename Value, typename Start>
--- a/lib/peer/server.cpp
+++ b/lib/peer/server.cpp
@@ -95,6 +95,9 @@
     {
     }
 
+    // The generated interface has no virtual destructor of its own.
+    virtual ~peer_server() = default;
+
     kj::Promise<void> exchange(ExchangeContext context) override
     {
         auto message = read(context.getParams().getRequest());
--- a/lib/peer/server.hpp
+++ b/lib/peer/server.hpp
@@ -23,6 +23,9 @@
            std::shared_ptr<task_queue> queue, transport& streams,
            kj::Timer& timer, kj::Own<kj::ConnectionReceiver> receiver);
 
+    // KJ's handler interface has no virtual destructor of its own.
+    virtual ~server() = default;
+
 private:
     class connection;
     class peer_server;
