--- a/include/magnoliastack/proxy/core.hpp
+++ b/include/magnoliastack/proxy/core.hpp
@@ -31,6 +31,8 @@
     std::string m_peer_address;
     std::vector<std::string> m_seeds;
     absl::Duration m_monitor_interval = absl::Milliseconds(50);
+    // How long a read waits for a replica before it goes to the primary.
+    absl::Duration m_replica_wait = absl::Milliseconds(20);
     std::size_t m_queue_per_organisation = 256;
     // Requests and transactions in progress; more are refused at once.
     std::size_t m_max_requests = 20'000;
--- a/include/magnoliastack/routing/read_routing.hpp
+++ b/include/magnoliastack/routing/read_routing.hpp
@@ -16,8 +16,9 @@
 namespace magnoliastack::routing
 {
 
-// How long a read waits for a replica before it goes to the primary.
-inline constexpr absl::Duration max_replica_wait = absl::Milliseconds(20);
+// How long a read waits for a replica before it goes to the primary, unless
+// the settings say otherwise.
+inline constexpr absl::Duration default_replica_wait = absl::Milliseconds(20);
 
 // What a read's data must have.
 struct read_requirements
@@ -28,6 +29,8 @@
     // the read. 0 asks for the primary and for no proof of age.
     absl::Duration m_max_staleness;
     base::instant m_deadline;
+    // How long the read may wait for a replica.
+    absl::Duration m_replica_wait = default_replica_wait;
 };
 
 // An endpoint as the pools of this host see it.
--- a/lib/proxy/core_state.cpp
+++ b/lib/proxy/core_state.cpp
@@ -339,6 +339,7 @@
     what.m_authority = who->m_authority;
     what.m_group = who->m_route->m_group;
     what.m_max_staleness = who->m_route->m_staleness;
+    what.m_replica_wait = m_options.m_replica_wait;
     what.m_session = std::move(who->m_session);
     what.m_session.m_organisation = what.m_authority.m_organisation;
     auto run = [this, reply, what = std::move(what)](base::instant at)
--- a/lib/proxy/execute_job.cpp
+++ b/lib/proxy/execute_job.cpp
@@ -41,7 +41,7 @@
 routing::read_requirements execute_job::requirements() const
 {
     return {m_request.m_session.position_of(m_request.m_group),
-            m_request.m_max_staleness, deadline()};
+            m_request.m_max_staleness, deadline(), m_request.m_replica_wait};
 }
 
 placement execute_job::where() const
--- a/lib/proxy/execute_job.hpp
+++ b/lib/proxy/execute_job.hpp
@@ -20,6 +20,7 @@
     authority m_authority;
     base::group_id m_group;
     absl::Duration m_max_staleness;
+    absl::Duration m_replica_wait = routing::default_replica_wait;
     session::session_state m_session;
 };
 
--- a/lib/routing/read_routing.cpp
+++ b/lib/routing/read_routing.cpp
@@ -134,7 +134,7 @@
         return choose_primary(requirements, view, loads, now);
 
     const base::instant until =
-        std::min(waiting_since.value_or(now) + max_replica_wait,
+        std::min(waiting_since.value_or(now) + requirements.m_replica_wait,
                  requirements.m_deadline);
     const endpoint_load* best = nullptr;
     bool expected = false;
