--- a/include/magnoliastack/failover/controller.hpp
+++ b/include/magnoliastack/failover/controller.hpp
@@ -11,11 +11,14 @@
 #include "magnoliastack/failover/promotion_attempt.hpp"
 #include "magnoliastack/group/group_view.hpp"
 #include "magnoliastack/rpc/endpoint_link.hpp"
+#include "magnoliastack/statechart/chart.hpp"
 
 #include "absl/time/time.h"
 
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -66,20 +69,11 @@
     absl::Duration m_pause_gap = group::pause_gap;
 };
 
-// The failover of one group, as seen by one host. Call tick() about every
-// 50 ms and after each change of the view.
+// The failover of one group, as seen by one host: the chart `failover`. Call
+// tick() about every 50 ms and after each change of the view.
 class controller
 {
 public:
-    // What the controller is doing.
-    enum class phase
-    {
-        idle,
-        waiting,
-        sealing,
-        promoting,
-    };
-
     controller(base::group_id group, base::host_id self,
                std::vector<base::endpoint_id> members,
                controller_options options = {});
@@ -100,9 +94,10 @@
                      const base::result<rpc::control_answer>& answer,
                      base::instant now);
 
-    [[nodiscard]] phase state() const
+    // The state of the chart.
+    [[nodiscard]] const std::string& state() const
     {
-        return m_phase;
+        return m_machine.state();
     }
     // Why a new term is wanted at present.
     [[nodiscard]] promotion_cause cause() const
@@ -118,13 +113,16 @@
     [[nodiscard]] std::optional<base::instant>
     turn(const group::group_view& view, const evidence_list& evidence,
          base::instant now) const;
-    void begin_attempt(base::instant now, std::vector<action>& actions);
     void drive_attempt(const group::group_view& view, base::instant now,
                        std::vector<action>& actions);
-    void send_seals(base::instant now, std::vector<action>& actions);
-    void send_choice(base::instant now, std::vector<action>& actions);
-    void finish(std::vector<action>& actions);
-    void abandon();
+    void refused(const base::endpoint_id& endpoint,
+                 const rpc::endpoint_status& status, base::instant now);
+    void fire(std::string_view event, base::instant now,
+              std::vector<action>& actions);
+    void carry_out(std::string_view step, base::instant now,
+                   std::vector<action>& actions);
+    void begin_attempt();
+    [[nodiscard]] bool is_promoting() const;
 
     base::group_id m_group;
     base::host_id m_self;
@@ -132,7 +130,7 @@
     controller_options m_options;
     assessment m_assessment;
     damping m_damping;
-    phase m_phase = phase::idle;
+    statechart::machine m_machine;
     promotion_cause m_cause = promotion_cause::none;
     base::instant m_cause_since;
     std::optional<base::instant> m_last_tick;
@@ -145,7 +143,8 @@
     std::set<base::endpoint_id> m_leaving;
     std::optional<promotion_attempt> m_attempt;
     base::instant m_sent_at;
-    base::instant m_chosen_at;
+    // When the attempt began its present state.
+    base::instant m_state_since;
     base::instant m_planned_allowed_from;
 };
 
--- a/include/magnoliastack/failover/promotion_attempt.hpp
+++ b/include/magnoliastack/failover/promotion_attempt.hpp
@@ -3,7 +3,6 @@
 #define MAGNOLIASTACK_FAILOVER_PROMOTION_ATTEMPT_HPP
 
 #include "magnoliastack/base/ids.hpp"
-#include "magnoliastack/base/time.hpp"
 #include "magnoliastack/rpc/endpoint_link.hpp"
 
 #include <cstddef>
@@ -24,16 +23,12 @@
     // sealed once a majority is.
     promotion_attempt(base::term target, std::vector<base::endpoint_id> first,
                       std::vector<base::endpoint_id> later,
-                      std::size_t majority, base::instant now);
+                      std::size_t majority);
 
     [[nodiscard]] base::term target() const
     {
         return m_target;
     }
-    [[nodiscard]] base::instant begun_at() const
-    {
-        return m_begun_at;
-    }
 
     // The endpoints that have not answered and are asked again.
     [[nodiscard]] std::vector<base::endpoint_id> unsealed() const;
@@ -72,7 +67,6 @@
     std::vector<base::endpoint_id> m_first;
     std::vector<base::endpoint_id> m_later;
     std::size_t m_majority;
-    base::instant m_begun_at;
     std::map<base::endpoint_id, rpc::endpoint_status> m_sealed;
     std::set<base::endpoint_id> m_refused;
     std::optional<base::endpoint_id> m_chosen;
--- a/lib/failover/controller.cpp
+++ b/lib/failover/controller.cpp
@@ -6,14 +6,43 @@
 #include <algorithm>
 #include <utility>
 
+namespace magnoliastack::statechart::embedded
+{
+extern const std::string_view failover;
+} // namespace magnoliastack::statechart::embedded
+
 namespace magnoliastack::failover
 {
 
+namespace
+{
+
+statechart::chart load_chart()
+{
+    auto loaded = statechart::load(
+        statechart::embedded::failover,
+        {"term_needed", "term_not_needed", "host_was_paused", "turn_came",
+         "answer_overdue", "majority_sealed", "promote_unanswered",
+         "endpoint_promoted", "attempt_lost"});
+    MAGNOLIASTACK_INVARIANT(loaded.has_value(),
+                            "the embedded failover chart is well formed");
+    return *std::move(loaded);
+}
+
+const statechart::chart& failover_chart()
+{
+    static const statechart::chart chart = load_chart();
+    return chart;
+}
+
+} // namespace
+
 controller::controller(base::group_id group, base::host_id self,
                        std::vector<base::endpoint_id> members,
                        controller_options options)
     : m_group(std::move(group)), m_self(std::move(self)),
-      m_members(std::move(members)), m_options(options), m_assessment(m_self)
+      m_members(std::move(members)), m_options(options), m_assessment(m_self),
+      m_machine(failover_chart())
 {
 }
 
@@ -25,10 +54,8 @@
     if (!m_last_tick || now - *m_last_tick > m_options.m_pause_gap)
     {
         m_assessment.reset(now);
-        // An attempt goes on: terms guard it, and a sealed majority needs a
-        // primary soon.
-        if (!m_attempt)
-            m_phase = phase::idle;
+        if (m_machine.can_fire("host_was_paused"))
+            fire("host_was_paused", now, actions);
     }
     m_last_tick = now;
     learn(view, now);
@@ -73,22 +100,19 @@
                           const evidence_list& evidence, base::instant now,
                           std::vector<action>& actions)
 {
-    const promotion_cause cause = m_assessment.assess(view, evidence, now);
-    if (cause == promotion_cause::none)
+    m_cause = m_assessment.assess(view, evidence, now);
+    const std::string_view event =
+        m_cause == promotion_cause::none ? "term_not_needed" : "term_needed";
+    if (m_machine.can_fire(event))
     {
-        m_cause = cause;
-        m_phase = phase::idle;
-        return;
-    }
-    if (m_phase == phase::idle)
-    {
-        m_phase = phase::waiting;
         m_cause_since = now;
+        fire(event, now, actions);
     }
-    m_cause = cause;
+    if (m_cause == promotion_cause::none)
+        return;
     const auto start = turn(view, evidence, now);
     if (start && *start <= now)
-        begin_attempt(now, actions);
+        fire("turn_came", now, actions);
 }
 
 // When this host may start; none while its gossip entry would say that it does
@@ -122,76 +146,25 @@
     return start;
 }
 
-void controller::begin_attempt(base::instant now, std::vector<action>& actions)
-{
-    m_highest_term = m_highest_term.next();
-    std::vector<base::endpoint_id> first = m_members;
-    std::vector<base::endpoint_id> later;
-    const std::size_t majority = m_members.size() / 2 + 1;
-    // In a planned change the leaving primary goes on writing until the others
-    // are sealed, so its log would be the longest and it would be chosen again.
-    if (m_cause == promotion_cause::planned && m_primary &&
-        m_members.size() > majority)
-    {
-        std::erase(first, *m_primary);
-        later.push_back(*m_primary);
-    }
-    m_attempt.emplace(m_highest_term, std::move(first), std::move(later),
-                      majority, now);
-    m_phase = phase::sealing;
-    send_seals(now, actions);
-}
-
-void controller::send_seals(base::instant now, std::vector<action>& actions)
-{
-    m_sent_at = now;
-    for (const base::endpoint_id& endpoint : m_attempt->unsealed())
-        actions.emplace_back(send_seal{endpoint, m_attempt->target()});
-}
-
-void controller::send_choice(base::instant now, std::vector<action>& actions)
-{
-    m_sent_at = now;
-    actions.emplace_back(
-        send_promote{*m_attempt->chosen(), m_attempt->target()});
-}
-
 // Resends what was not answered and gives up what takes too long.
 void controller::drive_attempt(const group::group_view& view, base::instant now,
                                std::vector<action>& actions)
 {
-    if (view.current_term() > m_attempt->target())
-    {
-        abandon();
-        return;
-    }
-    if (view.current_term() == m_attempt->target())
-    {
-        // An endpoint accepts a term only after its primary's promotion, so a
-        // lost answer does not matter.
-        if (m_phase == phase::promoting)
-            finish(actions);
-        else
-            abandon();
-        return;
-    }
-    if (m_phase == phase::promoting)
-    {
-        if (now - m_chosen_at >= m_options.m_promote_timeout)
-        {
-            // The endpoint may have become primary of this term, so another
-            // endpoint needs a higher one.
-            m_attempt.reset();
-            begin_attempt(now, actions);
-        }
-        else if (now - m_sent_at >= m_options.m_resend_after)
-            send_choice(now, actions);
-        return;
-    }
-    if (now - m_attempt->begun_at() >= m_options.m_seal_timeout)
-        abandon();
+    const base::term target = m_attempt->target();
+    const absl::Duration age = now - m_state_since;
+    // An endpoint accepts a term only after its primary's promotion, and only
+    // this host promotes in a term that a majority sealed for it. So a lost
+    // answer does not matter.
+    if (view.current_term() == target && is_promoting())
+        fire("endpoint_promoted", now, actions);
+    else if (view.current_term() >= target)
+        fire("attempt_lost", now, actions);
+    else if (is_promoting() && age >= m_options.m_promote_timeout)
+        fire("promote_unanswered", now, actions);
+    else if (!is_promoting() && age >= m_options.m_seal_timeout)
+        fire("attempt_lost", now, actions);
     else if (now - m_sent_at >= m_options.m_resend_after)
-        send_seals(now, actions);
+        fire("answer_overdue", now, actions);
 }
 
 std::vector<action>
@@ -200,8 +173,8 @@
                           base::instant now)
 {
     std::vector<action> actions;
-    if (!m_attempt || m_phase != phase::sealing ||
-        target != m_attempt->target() || !answer)
+    if (!m_attempt || is_promoting() || target != m_attempt->target() ||
+        !answer)
         return actions;
     rpc::endpoint_status status = answer->m_status;
     status.m_endpoint = endpoint;
@@ -210,21 +183,14 @@
     const bool over = status.m_accepted_term >= target;
     if (over || !answer->m_taken)
     {
-        learn_term(std::max(status.m_sealed_term, status.m_accepted_term), now);
-        m_foreign_seal_at = now;
-        m_attempt->refused(endpoint);
+        refused(endpoint, status, now);
         if (over || m_attempt->is_lost())
-            abandon();
+            fire("attempt_lost", now, actions);
         return actions;
     }
     m_attempt->sealed(endpoint, status);
-    if (!m_attempt->choose(m_leaving))
-        return actions;
-    m_phase = phase::promoting;
-    m_chosen_at = now;
-    send_choice(now, actions);
-    for (const base::endpoint_id& other : m_attempt->later())
-        actions.emplace_back(send_seal{other, target});
+    if (m_attempt->choose(m_leaving))
+        fire("majority_sealed", now, actions);
     return actions;
 }
 
@@ -233,40 +199,100 @@
     const base::result<rpc::control_answer>& answer, base::instant now)
 {
     std::vector<action> actions;
-    if (!m_attempt || m_phase != phase::promoting ||
-        target != m_attempt->target() || endpoint != m_attempt->chosen())
-        return actions;
     // A lost answer is resolved by drive_attempt: by the view or by time.
-    if (!answer)
+    if (!m_attempt || !is_promoting() || target != m_attempt->target() ||
+        endpoint != m_attempt->chosen() || !answer)
         return actions;
-    if (answer->m_taken)
+    if (!answer->m_taken)
+        refused(endpoint, answer->m_status, now);
+    fire(answer->m_taken ? "endpoint_promoted" : "attempt_lost", now, actions);
+    return actions;
+}
+
+// Notes that another promoter holds the endpoint's seal.
+void controller::refused(const base::endpoint_id& endpoint,
+                         const rpc::endpoint_status& status, base::instant now)
+{
+    learn_term(std::max(status.m_sealed_term, status.m_accepted_term), now);
+    m_foreign_seal_at = now;
+    m_attempt->refused(endpoint);
+}
+
+void controller::fire(std::string_view event, base::instant now,
+                      std::vector<action>& actions)
+{
+    const std::string before = m_machine.state();
+    const auto steps = m_machine.fire(event);
+    MAGNOLIASTACK_INVARIANT(steps.has_value(),
+                            "the failover chart handles the event");
+    if (m_machine.state() != before)
+        m_state_since = now;
+    for (const statechart::action_name& step : *steps)
+        carry_out(step, now, actions);
+}
+
+// Runs one action of the chart.
+void controller::carry_out(std::string_view step, base::instant now,
+                           std::vector<action>& actions)
+{
+    if (step == "begin_attempt")
+        return begin_attempt();
+    MAGNOLIASTACK_INVARIANT(m_attempt.has_value(),
+                            "only an attempt sends seals and promotes");
+    const base::term target = m_attempt->target();
+    if (step == "send_seals")
     {
-        finish(actions);
-        return actions;
+        m_sent_at = now;
+        for (const base::endpoint_id& endpoint : m_attempt->unsealed())
+            actions.emplace_back(send_seal{endpoint, target});
+    }
+    else if (step == "send_later_seals")
+    {
+        for (const base::endpoint_id& endpoint : m_attempt->later())
+            actions.emplace_back(send_seal{endpoint, target});
+    }
+    else if (step == "send_promote")
+    {
+        m_sent_at = now;
+        actions.emplace_back(send_promote{m_attempt->chosen().value(), target});
+    }
+    else if (step == "report_promotion")
+    {
+        actions.emplace_back(
+            promoted{m_attempt->chosen().value(), target, m_cause});
+    }
+    else
+    {
+        MAGNOLIASTACK_INVARIANT(step == "end_attempt",
+                                "every action of the failover chart is known");
+        if (m_cause == promotion_cause::planned)
+            m_planned_allowed_from = now + m_options.m_planned_interval;
+        m_attempt.reset();
     }
-    learn_term(std::max(answer->m_status.m_sealed_term,
-                        answer->m_status.m_accepted_term),
-               now);
-    m_foreign_seal_at = now;
-    abandon();
-    return actions;
 }
 
-void controller::finish(std::vector<action>& actions)
+// Chooses a term that no endpoint is known to have sealed.
+void controller::begin_attempt()
 {
-    MAGNOLIASTACK_INVARIANT(m_attempt && m_attempt->chosen(),
-                            "only a chosen endpoint is promoted");
-    actions.emplace_back(
-        promoted{*m_attempt->chosen(), m_attempt->target(), m_cause});
-    abandon();
+    m_highest_term = m_highest_term.next();
+    std::vector<base::endpoint_id> first = m_members;
+    std::vector<base::endpoint_id> later;
+    const std::size_t majority = m_members.size() / 2 + 1;
+    // In a planned change the leaving primary goes on writing until the others
+    // are sealed, so its log would be the longest and it would be chosen again.
+    if (m_cause == promotion_cause::planned && m_primary &&
+        m_members.size() > majority)
+    {
+        std::erase(first, *m_primary);
+        later.push_back(*m_primary);
+    }
+    m_attempt.emplace(m_highest_term, std::move(first), std::move(later),
+                      majority);
 }
 
-void controller::abandon()
+bool controller::is_promoting() const
 {
-    if (m_cause == promotion_cause::planned && m_last_tick)
-        m_planned_allowed_from = *m_last_tick + m_options.m_planned_interval;
-    m_attempt.reset();
-    m_phase = phase::idle;
+    return m_attempt && m_attempt->chosen();
 }
 
 } // namespace magnoliastack::failover
--- a/lib/failover/promotion_attempt.cpp
+++ b/lib/failover/promotion_attempt.cpp
@@ -10,9 +10,9 @@
 promotion_attempt::promotion_attempt(base::term target,
                                      std::vector<base::endpoint_id> first,
                                      std::vector<base::endpoint_id> later,
-                                     std::size_t majority, base::instant now)
+                                     std::size_t majority)
     : m_target(target), m_first(std::move(first)), m_later(std::move(later)),
-      m_majority(majority), m_begun_at(now)
+      m_majority(majority)
 {
 }
 
