--- a/include/magnoliastack/configuration/acceptance.hpp
+++ b/include/magnoliastack/configuration/acceptance.hpp
@@ -96,6 +96,10 @@
 // row: a host serves only after it has been in the list for the join delay. A
 // restarted host starts over with that delay, by which its peers know of it.
 //
+// A host that has left counts for no majority from then on. It may come back,
+// but it is in the list for the join delay before it has a vote again, so this
+// is only said while lists arrive without gaps as long as that.
+//
 // Assumption: the quorum set of a running host is one that the judge has had
 // within the list retention, or differs from it so little that majorities
 // intersect. It can only fail when more than half of the hosts are new to a
@@ -142,7 +146,9 @@
                          base::instant now) const;
     [[nodiscard]] bool
     blocks_every_majority(const absl::btree_set<base::host_id>& holders,
-                          base::instant now) const;
+                          base::instant at, base::instant now) const;
+    [[nodiscard]] bool had_left(const base::host_id& host, base::instant at,
+                                base::instant now) const;
     [[nodiscard]] absl::btree_set<base::host_id>
     proven_holders(const evidence& state,
                    const std::vector<host_report>& reports) const;
--- a/include/magnoliastack/configuration/keeper.hpp
+++ b/include/magnoliastack/configuration/keeper.hpp
@@ -78,8 +78,10 @@
 // Confirmation. The copy of version v is confirmed at s when a read of the row
 // that was sent at s returned v, or when answers to exchanges that were sent
 // at s or later came from so many hosts that they and this host are a majority
-// of the listed hosts, and no host has reported a version above v. Using the
-// send time makes the confirmation true at s however long the answer took.
+// of the listed hosts, and none of these reported a version above v. Using the
+// send time makes the confirmation true at s however long the answer took. A
+// version above v that only others hold does not prevent this: it cannot be
+// accepted yet, and its only holder may be gone during an outage of the store.
 //
 // Votes. A host that has just started has forgotten what it held, so its
 // answer could hide a higher version that it helped to accept before. It
--- a/include/magnoliastack/configuration/quorum.hpp
+++ b/include/magnoliastack/configuration/quorum.hpp
@@ -21,6 +21,11 @@
 // the longest partition or outage during which hosts shall go on to serve.
 inline constexpr absl::Duration default_list_retention = absl::Hours(12);
 
+// Between lists that are further apart, a host that left could have come back,
+// served and been dropped again, this time as unreachable. Below the join
+// delay of 2 s.
+inline constexpr absl::Duration max_list_gap = absl::Milliseconds(1'500);
+
 // The number of hosts that is a majority of `size`.
 constexpr std::size_t majority_of(std::size_t size)
 {
@@ -49,8 +54,11 @@
     [[nodiscard]] std::vector<absl::btree_set<base::host_id>>
     remembered(base::instant now) const;
 
-    // Whether the host was listed as leaving and is no longer listed.
-    [[nodiscard]] bool has_left(const base::host_id& host) const;
+    // When the list had dropped the host after it was listed as leaving. Empty
+    // for a host that has not left, that is back, or that may have been back
+    // between two lists that are further apart than max_list_gap.
+    [[nodiscard]] std::optional<base::instant>
+    left_since(const base::host_id& host) const;
 
     // Whether the last list contains the host.
     [[nodiscard]] bool is_listed(const base::host_id& host) const;
@@ -67,6 +75,7 @@
         base::instant m_last_listed;
         bool m_listed = false;
         bool m_leaving = false;
+        std::optional<base::instant> m_left_since;
     };
     struct past_set
     {
@@ -76,6 +85,7 @@
 
     absl::Duration m_retention;
     std::optional<base::instant> m_last_list;
+    base::instant m_without_gap_since;
     absl::btree_map<base::host_id, known_host> m_hosts;
     std::vector<past_set> m_sets;
 };
--- a/lib/configuration/acceptance.cpp
+++ b/lib/configuration/acceptance.cpp
@@ -74,8 +74,17 @@
                                         acceptance_margin(m_options.m_bound);
 }
 
+bool acceptance_judge::had_left(const base::host_id& host, base::instant at,
+                                base::instant now) const
+{
+    const std::optional<base::instant> since = m_quorum.left_since(host);
+    return since && *since <= at && m_list_sent_at &&
+           now - *m_list_sent_at < max_list_gap;
+}
+
 bool acceptance_judge::blocks_every_majority(
-    const absl::btree_set<base::host_id>& holders, base::instant now) const
+    const absl::btree_set<base::host_id>& holders, base::instant at,
+    base::instant now) const
 {
     const auto sets = m_quorum.remembered(now);
     for (const auto& set : sets)
@@ -84,7 +93,7 @@
                                           [&](const base::host_id& host)
                                           {
                                               return !holders.contains(host) &&
-                                                     !m_quorum.has_left(host);
+                                                     !had_left(host, at, now);
                                           });
         if (static_cast<std::size_t>(others) >= majority_of(set.size()))
             return false;
@@ -115,10 +124,10 @@
             early.insert(report.m_host);
     }
     state.m_holders = std::move(holders);
-    if (state.m_since && blocks_every_majority(early, now))
+    if (state.m_since && blocks_every_majority(early, *state.m_since, now))
         return;
     state.m_since.reset();
-    if (blocks_every_majority(all, now))
+    if (blocks_every_majority(all, now, now))
         state.m_since = now;
 }
 
@@ -149,7 +158,8 @@
     const std::optional<base::instant> row_since = row_known_since(version);
     const bool others_stopped =
         has_waited(row_since, now) && has_waited(state.m_since, now) &&
-        blocks_every_majority(proven_holders(state, reports), now);
+        blocks_every_majority(proven_holders(state, reports), *state.m_since,
+                              now);
 
     absl::btree_map<base::host_id, const host_report*> known;
     for (const auto& set : m_quorum.remembered(now))
@@ -160,12 +170,17 @@
     for (const host_report& report : reports)
         known[report.m_host] = &report;
 
+    // Without a list that is newer than the row, a host that has joined may be
+    // unknown here.
+    const bool list_is_new =
+        row_since && m_list_sent_at && *m_list_sent_at >= *row_since;
     acceptance answer;
     bool all_announced = true;
     for (const auto& [host, report] : known)
     {
-        if (m_quorum.has_left(host) ||
-            (report != nullptr && report->m_version >= version))
+        if (report != nullptr && report->m_version >= version)
+            continue;
+        if (had_left(host, now, now) && (list_is_new || others_stopped))
             continue;
         all_announced = false;
         const bool silent = report == nullptr || !report->m_last_news ||
@@ -173,10 +188,6 @@
         if (!silent || !others_stopped)
             answer.m_pending.push_back(host);
     }
-    // Without a list that is newer than the row, a host that has joined may be
-    // unknown here.
-    const bool list_is_new =
-        row_since && m_list_sent_at && *m_list_sent_at >= *row_since;
     answer.m_accepted = answer.m_pending.empty() && row_since &&
                         (others_stopped || (all_announced && list_is_new));
     if (m_evidence.size() > max_versions)
--- a/lib/configuration/keeper.cpp
+++ b/lib/configuration/keeper.cpp
@@ -272,7 +272,7 @@
 
 void keeper::confirm_by_majority(base::instant now)
 {
-    if (!m_active || m_highest > version())
+    if (!m_active)
         return;
     if (const auto at = majority_instant(m_quorum.current(now), now))
         confirm(*at);
--- a/lib/configuration/quorum.cpp
+++ b/lib/configuration/quorum.cpp
@@ -11,11 +11,13 @@
 void quorum_history::hosts_listed(const std::vector<rpc::listed_host>& hosts,
                                   base::instant now)
 {
+    if (!m_last_list || now - *m_last_list > max_list_gap)
+        m_without_gap_since = now;
     m_last_list = now;
     for (auto& [id, host] : m_hosts)
         host.m_listed = false;
     for (const rpc::listed_host& listed : hosts)
-        m_hosts[listed.m_host] = {now, true, listed.m_leaving};
+        m_hosts[listed.m_host] = {now, true, listed.m_leaving, {}};
     absl::erase_if(m_hosts,
                    [&](const auto& item)
                    {
@@ -23,10 +25,13 @@
                    });
 
     absl::btree_set<base::host_id> in_force;
-    for (const auto& [id, host] : m_hosts)
+    for (auto& [id, host] : m_hosts)
     {
-        if (host.m_listed || !host.m_leaving)
+        const bool left = host.m_leaving && !host.m_listed;
+        if (!left)
             in_force.insert(id);
+        else if (!host.m_left_since)
+            host.m_left_since = now;
     }
     if (m_sets.empty() || m_sets.back().m_hosts != in_force)
         m_sets.push_back({std::move(in_force), now});
@@ -58,11 +63,14 @@
     return sets;
 }
 
-bool quorum_history::has_left(const base::host_id& host) const
+std::optional<base::instant>
+quorum_history::left_since(const base::host_id& host) const
 {
     const auto found = m_hosts.find(host);
-    return found != m_hosts.end() && found->second.m_leaving &&
-           !found->second.m_listed;
+    if (found == m_hosts.end() || !found->second.m_left_since ||
+        *found->second.m_left_since <= m_without_gap_since)
+        return std::nullopt;
+    return found->second.m_left_since;
 }
 
 bool quorum_history::is_listed(const base::host_id& host) const
