--- a/include/magnoliastack/share/slot_keeper.hpp
+++ b/include/magnoliastack/share/slot_keeper.hpp
@@ -164,6 +164,7 @@
     void refresh_slots();
     void watch_owners(base::instant now);
     [[nodiscard]] std::optional<slot_table> next_table(base::instant now);
+    [[nodiscard]] bool has_work(base::instant now) const;
     [[nodiscard]] std::optional<slot_table> initial_table() const;
     bool write_vacated(slot_table& table) const;
     bool write_settled(slot_table& table, base::instant now) const;
@@ -202,6 +203,8 @@
     std::map<base::host_id, std::uint64_t> m_acknowledged;
     std::map<base::host_id, base::instant> m_agreed_at;
     std::optional<base::instant> m_read_at;
+    // The members, the list or the row have changed since the last check.
+    bool m_owners_changed = false;
     // Since when the owner of a slot has been dead or missing.
     std::map<base::slot_index, base::instant> m_dead_since;
 };
--- a/lib/share/slot_keeper.cpp
+++ b/lib/share/slot_keeper.cpp
@@ -104,6 +104,10 @@
         m_next_read = std::min(m_next_read, now);
         return;
     }
+    // A restarted peer has forgotten the version that it acknowledged before;
+    // until it has read the row its answer proves nothing.
+    if (version == 0)
+        return;
     auto& agreed = m_agreed_at[host];
     agreed = std::max(agreed, sent_at);
 }
@@ -112,6 +116,7 @@
                                   base::instant now)
 {
     (void)now;
+    m_owners_changed = true;
     m_members.clear();
     for (const rpc::member_entry& entry : members)
     {
@@ -125,6 +130,7 @@
                                base::instant now)
 {
     (void)now;
+    m_owners_changed = true;
     m_listed = hosts;
 }
 
@@ -218,6 +224,7 @@
     const slot_table before = std::exchange(m_table, std::move(table));
     const bool first = !std::exchange(m_known, true);
     m_version = row.m_version;
+    m_owners_changed = true;
     std::erase_if(m_owned,
                   [this](const auto& item)
                   {
@@ -306,6 +313,8 @@
 
 void slot_keeper::watch_owners(base::instant now)
 {
+    if (!std::exchange(m_owners_changed, false))
+        return;
     for (std::size_t index = 0; index < m_table.m_slots.size(); ++index)
     {
         const base::slot_index slot(index);
@@ -329,6 +338,8 @@
         return std::nullopt;
     if (m_version == 0)
         return m_releasing ? std::nullopt : initial_table();
+    if (!has_work(now))
+        return std::nullopt;
     slot_table table = m_table;
     bool changed = write_vacated(table);
     changed = write_settled(table, now) || changed;
@@ -339,6 +350,17 @@
     return table;
 }
 
+bool slot_keeper::has_work(base::instant now) const
+{
+    for (const auto& [slot, owned] : m_owned)
+        if (owned.m_vacating || owned.m_origin == slot_origin::taken_over)
+            return true;
+    for (std::size_t index = 0; index < m_table.m_slots.size(); ++index)
+        if (is_claimable(base::slot_index(index), m_table.m_slots[index], now))
+            return true;
+    return false;
+}
+
 std::optional<slot_table> slot_keeper::initial_table() const
 {
     slot_table table;
