Reserve term 1 for the initial primary; test small answers and delays

The randomised run did not reach entries that are on the way when a seal comes: its options were set in a function that the run never called. Fresh endpoints now start sealed at term 1 without a promoter.

Removing the check that a batch of the followed term joins the held log was not noticed; no run reaches it.

--- a/include/magnoliastack/standin/endpoint_model.hpp
+++ b/include/magnoliastack/standin/endpoint_model.hpp
@@ -42,6 +42,8 @@
     absl::Duration m_leaving_grace = absl::Seconds(4);
     // Longest time that a pull waits for a new entry.
     absl::Duration m_pull_wait = absl::Milliseconds(50);
+    // Entries in one pull answer.
+    std::size_t m_pull_entries = 1024;
     // Request records retained; at 1,000 writes a second more than 3 minutes.
     std::size_t m_record_limit = 200'000;
     // Rows in one part of an answer.
@@ -259,6 +261,8 @@
     [[nodiscard]] base::log_point point_at(base::log_position position) const;
 
     // Replication.
+    [[nodiscard]] bool is_sealed_for(base::term target,
+                                     const base::host_id& promoter) const;
     [[nodiscard]] bool is_primary() const;
     [[nodiscard]] bool is_primary_of(base::term expected) const;
     [[nodiscard]] follow_state following() const;
--- a/lib/standin/endpoint_model.cpp
+++ b/lib/standin/endpoint_model.cpp
@@ -11,8 +11,7 @@
 namespace
 {
 
-// Bounds of one pull answer; gRPC refuses messages above 4 MB by default.
-constexpr std::size_t pull_entries = 1024;
+// Bound of one pull answer; gRPC refuses messages above 4 MB by default.
 constexpr std::size_t pull_bytes = 1'000'000;
 
 } // namespace
@@ -20,10 +19,12 @@
 endpoint_model::endpoint_model(endpoint_options options, base::instant now)
     : endpoint_model(std::move(options), durable_state{}, now)
 {
+    // Term 1 belongs to the initial primary. Without the seal a promoter that
+    // reaches only the others could win it too.
+    m_sealed = base::term(1);
     if (!m_options.m_initial_primary)
         return;
     m_accepted = base::term(1);
-    m_sealed = base::term(1);
     m_primary_of_accepted = true;
     append_own(std::nullopt, {});
     m_term_start = m_log.held().m_position;
@@ -50,7 +51,7 @@
                                          base::instant now)
 {
     const bool fresh = target > m_sealed && target > m_accepted;
-    const bool again = target == m_sealed && promoter == m_sealed_by;
+    const bool again = is_sealed_for(target, promoter);
     if (fresh)
     {
         m_sealed = target;
@@ -64,7 +65,7 @@
                                             const base::host_id& promoter,
                                             base::instant now)
 {
-    const bool sealed_for_it = target == m_sealed && promoter == m_sealed_by;
+    const bool sealed_for_it = is_sealed_for(target, promoter);
     const bool again =
         sealed_for_it && target == m_accepted && m_primary_of_accepted;
     const bool fresh = sealed_for_it && target > m_accepted;
@@ -191,6 +192,13 @@
     m_replicator.set_delay(delay);
 }
 
+bool endpoint_model::is_sealed_for(base::term target,
+                                   const base::host_id& promoter) const
+{
+    // The seal of term 1 has no promoter.
+    return target == m_sealed && !promoter.empty() && promoter == m_sealed_by;
+}
+
 bool endpoint_model::is_primary() const
 {
     return m_primary_of_accepted && m_sealed <= m_accepted;
@@ -293,7 +301,7 @@
         return out;
     }
     out.m_entries = m_log.entries_after(request.m_after.m_position,
-                                        pull_entries, pull_bytes);
+                                        m_options.m_pull_entries, pull_bytes);
     if (out.m_entries.empty() && request.m_term == m_accepted)
         return std::nullopt;
     return out;
--- a/unittests/standin/random_group_test.cpp
+++ b/unittests/standin/random_group_test.cpp
@@ -134,12 +134,11 @@
 {
 public:
     explicit random_run(std::uint64_t seed)
-        : m_seed(seed),
-          m_group(nodes, seed,
-                  [](std::size_t, endpoint_options& options)
-                  {
-                      options.m_service_time = absl::Milliseconds(1);
-                  }),
+        : m_seed(seed), m_group(nodes, seed,
+                                [seed](std::size_t, endpoint_options& options)
+                                {
+                                    set_options(seed, options);
+                                }),
           m_checker(m_group, seed)
     {
         m_group.m_observe = [this](std::size_t node)
@@ -168,6 +167,18 @@
     std::size_t m_terms = 0;
 
 private:
+    // Small answers make a replica accept a term with a part of its log;
+    // delays leave entries on the way when a seal comes.
+    static void set_options(std::uint64_t seed, endpoint_options& options)
+    {
+        options.m_service_time = absl::Milliseconds(1);
+        options.m_pull_entries = seed % 2 == 0 ? 1024 : 2;
+        if (seed % 3 == 0)
+            options.m_replication_delay = absl::Milliseconds(50);
+        if (seed % 5 == 0)
+            options.m_apply_delay = absl::Milliseconds(50);
+    }
+
     std::uint64_t below(std::uint64_t bound)
     {
         return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(
--- a/unittests/standin/replication_test.cpp
+++ b/unittests/standin/replication_test.cpp
@@ -1,6 +1,8 @@
 // Terms, seals, promotion and replication in a group of three.
 #include "simulation.hpp"
 
+#include <map>
+
 #include <criterion/criterion.h>
 
 using namespace magnoliastack;
@@ -84,6 +86,25 @@
     cr_assert(group.end_of(1, 2).m_outcome == call_outcome::wrong_term);
 }
 
+// Guards against entries of an old term that were on the way when the seal
+// came.
+Test(promotion, entries_on_the_way_are_dropped_by_a_seal)
+{
+    simulation group(3, 1,
+                     [](std::size_t, endpoint_options& options)
+                     {
+                         options.m_replication_delay = absl::Milliseconds(50);
+                     });
+    group.open(0, 1);
+    group.run_for(settled);
+    group.call(0, 1, 1, put("a", "1", request(1)));
+    group.run_for(absl::Milliseconds(20));
+    cr_assert(group.seal(1, 2, "h1"));
+    group.run_for(settled);
+    cr_assert_eq(group.status(1).m_held.m_position.value(), 1u);
+    cr_assert_eq(group.status(2).m_held.m_position.value(), 2u);
+}
+
 // Guards against a write that was in a slot when the seal came.
 Test(promotion, a_write_in_a_slot_does_not_survive_a_seal)
 {
@@ -118,6 +139,15 @@
                   "the term has a primary that e1 follows");
 }
 
+// Guards against a promoter that wins term 1 at members which have not yet
+// heard from the initial primary.
+Test(promotion, term_one_belongs_to_the_initial_primary)
+{
+    simulation group(3);
+    cr_assert_not(group.seal(1, 1, "h1"));
+    cr_assert_not(group.promote(1, 1, ""));
+}
+
 // Guards against an endpoint that is promoted without a seal for that term.
 Test(promotion, promote_needs_exactly_its_seal)
 {
@@ -175,6 +205,78 @@
     cr_assert_eq(group.status(2).m_term_start.value(), 2u);
 }
 
+// Guards against a replica that reports a term start which it does not hold
+// yet: copies of an older term's entry would look committed, and the endpoint
+// with the longer log of the term in between replaces them.
+Test(promotion, an_older_entry_without_the_term_start_can_still_be_replaced)
+{
+    simulation group(3, 1,
+                     [](std::size_t, endpoint_options& options)
+                     {
+                         options.m_pull_entries = 1;
+                     });
+    group.open(0, 1);
+    group.run_for(settled);
+    isolate(group, 0, true);
+    group.call(0, 1, 1, put("lost", "1", request(1)));
+    group.run_for(settled);
+    isolate(group, 1, true);
+    group.seal(1, 2, "h1");
+    group.seal(2, 2, "h1");
+    cr_assert(group.promote(1, 2, "h1"));
+    group.seal(0, 3, "h2");
+    group.seal(2, 3, "h2");
+    cr_assert(group.promote(0, 3, "h2"));
+    group.set_cut(0, 2, false);
+    while (group.status(2).m_held.m_position.value() < 2)
+        group.run_for(absl::Microseconds(50));
+    const rpc::endpoint_status copy = group.status(2);
+    cr_assert_eq(copy.m_accepted_term.value(), 3u);
+    cr_assert_eq(group.status(0).m_term_start.value(), 3u);
+    cr_assert_eq(copy.m_term_start.value(), 0u);
+
+    isolate(group, 0, true);
+    group.set_cut(1, 2, false);
+    group.seal(1, 4, "h1");
+    group.seal(2, 4, "h1");
+    cr_assert(group.status(1).m_held > copy.m_held);
+    cr_assert(group.promote(1, 4, "h1"));
+    isolate(group, 0, false);
+    group.run_for(absl::Seconds(1));
+    for (std::size_t node = 0; node < 3; ++node)
+        cr_assert_not(group.model(node).log().rows().contains("lost"));
+}
+
+// Guards against a replica that drops entries which the new primary has, only
+// because its pull was asked before it received them.
+Test(replication, a_late_answer_drops_nothing_that_the_primary_has)
+{
+    endpoint_options options;
+    options.m_endpoint = base::endpoint_id("e1");
+    options.m_members = {base::endpoint_id("e0"), base::endpoint_id("e2")};
+    const base::instant now = base::instant::from_nanoseconds(1'000'000'000);
+    endpoint_model replica(options, now);
+    std::map<base::endpoint_id, std::uint64_t> pulls;
+    for (const endpoint_action& action : replica.tick(now))
+        pulls[std::get<send_pull>(action).m_to] =
+            std::get<send_pull>(action).m_number;
+    pull_answer all{true, base::term(1), false, {}, {}, base::log_position(1)};
+    for (std::uint64_t position = 1; position <= 5; ++position)
+        all.m_entries.push_back(
+            {{base::term(1), base::log_position(position)}, {}, {}});
+    pull_answer first_two = all;
+    first_two.m_term = base::term(2);
+    first_two.m_term_start = base::log_position(6);
+    first_two.m_entries.resize(2);
+    replica.pull_answered(options.m_members[0], pulls[options.m_members[0]],
+                          all, now);
+    cr_assert_eq(replica.log().held().m_position.value(), 5u);
+    replica.pull_answered(options.m_members[1], pulls[options.m_members[1]],
+                          first_two, now);
+    cr_assert_eq(replica.log().held().m_position.value(), 5u);
+    cr_assert_eq(replica.status(now).m_accepted_term.value(), 1u);
+}
+
 // Guards against an outcome of an earlier term reported as a point of that
 // term, which looks like a late answer, and against a second run.
 Test(promotion, a_record_is_found_after_a_failover)
