--- a/include/magnoliastack/group/group_view.hpp
+++ b/include/magnoliastack/group/group_view.hpp
@@ -105,6 +105,10 @@
     [[nodiscard]] const rpc::endpoint_status*
     status(const base::endpoint_id& endpoint) const;
 
+    // How long ago the newest status was received; none before the first one.
+    [[nodiscard]] std::optional<absl::Duration>
+    status_age(const base::endpoint_id& endpoint, base::instant now) const;
+
     // True when the member answered a round within `unreachable_after`.
     [[nodiscard]] bool is_reachable(const base::endpoint_id& endpoint,
                                     base::instant now) const;
@@ -124,6 +128,7 @@
     struct member
     {
         std::optional<rpc::endpoint_status> m_status;
+        base::instant m_status_at;
         base::round_number m_answered_round;
         // Receipt of the newest answer to a round since the last reset.
         std::optional<base::instant> m_answered_at;
--- a/lib/group/group_view.cpp
+++ b/lib/group/group_view.cpp
@@ -52,6 +52,7 @@
         return;
     m_current_term = std::max(m_current_term, status.m_accepted_term);
     entry.m_status = std::move(status);
+    entry.m_status_at = now;
     if (primary())
         m_primary_seen_at = now;
 }
@@ -168,6 +169,16 @@
     return entry != nullptr && entry->m_status ? &*entry->m_status : nullptr;
 }
 
+std::optional<absl::Duration>
+group_view::status_age(const base::endpoint_id& endpoint,
+                       base::instant now) const
+{
+    const member* entry = find(endpoint);
+    if (entry == nullptr || !entry->m_status)
+        return std::nullopt;
+    return now - entry->m_status_at;
+}
+
 bool group_view::is_reachable(const base::endpoint_id& endpoint,
                               base::instant now) const
 {
--- a/lib/routing/read_routing.cpp
+++ b/lib/routing/read_routing.cpp
@@ -49,8 +49,8 @@
 }
 
 // True when the replica is likely to have applied the session's point within
-// `remaining`: its present lag, less the age of the point, is the time that it
-// still needs.
+// `remaining`: its lag at the time of its status, less the age of the point, is
+// the time that it still needs.
 bool is_expected(const read_requirements& requirements,
                  const group::group_view& view,
                  const base::endpoint_id& endpoint,
@@ -60,13 +60,16 @@
     if (status.m_accepted_term < requirements.m_session.m_term ||
         status.m_applied >= requirements.m_session.m_position)
         return false;
-    const auto lag = view.staleness(endpoint, now);
-    if (!lag || *lag > requirements.m_max_staleness)
+    const auto staleness = view.staleness(endpoint, now);
+    if (!staleness || *staleness > requirements.m_max_staleness)
         return false;
+    const absl::Duration lag =
+        *staleness -
+        view.status_age(endpoint, now).value_or(absl::ZeroDuration());
     const base::log_point point{status.m_accepted_term,
                                 requirements.m_session.m_position};
     const auto age = view.age_of(point, now);
-    return *lag - age.value_or(absl::ZeroDuration()) <= remaining;
+    return lag - age.value_or(absl::ZeroDuration()) <= remaining;
 }
 
 // Orders replicas: one with a connection first, then the own failure domain,
