Add the process-level fault matrix; close connections with wrong call ids

Cause: with crossed answers, a caller got an empty answer (cell answers_crossed: write 362 answered nothing, a session wrote 106 and read nothing). The endpoint's stand-in put the id of an earlier call on an answer. The pool took it for a late answer and kept the connection; the ping that followed was then answered with the id of the waiting call and delivered as its answer.

Ruled out: late answers on a live connection (a call that is given up takes its connection with it, so there are none); row counts (the ping's answer has 0 rows and says so).

Change: an answer for neither the present call nor an open ping closes the connection; a successful answer to a call that has a log point must have one.

--- a/include/magnoliastack/pool/endpoint_pool.hpp
+++ b/include/magnoliastack/pool/endpoint_pool.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -66,8 +67,8 @@
     open_timeout,
     over_allowance,
     surplus,
-    // An answer for a call that was never sent on it: its own answer may have
-    // gone to another call.
+    // An answer for no call that is out on it: its own answer may have gone to
+    // another call.
     crossed_answer,
     // The owner asked for it.
     discarded,
@@ -98,9 +99,9 @@
     deliver,
     // Answers a ping; nothing to deliver.
     ping,
-    // Of an earlier call or a closed connection: discard.
+    // Of a closed connection: discard.
     late,
-    // Of a call that was never sent: discard; the connection gets closed.
+    // Of no call that is out: discard; the connection gets closed.
     crossed,
 };
 
@@ -200,6 +201,8 @@
         base::call_id m_last_call;
         std::optional<base::call_id> m_call;
         std::optional<base::call_id> m_ping;
+        // Pings before that which are not answered yet.
+        std::set<base::call_id> m_earlier_pings;
         // Start of the present silence.
         base::instant m_heard;
     };
--- a/lib/pool/endpoint_pool.cpp
+++ b/lib/pool/endpoint_pool.cpp
@@ -133,9 +133,10 @@
         ++m_counters.m_late_answers;
         return part_verdict::late;
     }
-    if (item->m_ping == call)
+    if (item->m_ping == call || item->m_earlier_pings.erase(call) > 0)
     {
-        item->m_ping.reset();
+        if (item->m_ping == call)
+            item->m_ping.reset();
         heard(*item, now);
         return part_verdict::ping;
     }
@@ -148,11 +149,9 @@
             item->m_call.reset();
         return part_verdict::deliver;
     }
-    if (call <= item->m_last_call && call.value() != 0)
-    {
-        ++m_counters.m_late_answers;
-        return part_verdict::late;
-    }
+    // A call that is given up takes its connection with it, so an answer to
+    // neither the present call nor a ping is not a late one: answers on this
+    // connection carry wrong ids, and the next could match by chance.
     ++m_counters.m_crossed_answers;
     begin_close(generation, *item, close_reason::crossed_answer);
     return part_verdict::crossed;
@@ -312,6 +311,8 @@
     // A ping queued behind a running call is still to be answered.
     if (item.m_ping)
         return;
+    if (item.m_ping)
+        item.m_earlier_pings.insert(*item.m_ping);
     item.m_ping = next_call(generation);
     ++m_counters.m_pings;
     m_actions.emplace_back(send_ping{generation, *item.m_ping});
--- a/lib/proxy/endpoint_runtime.cpp
+++ b/lib/proxy/endpoint_runtime.cpp
@@ -31,6 +31,14 @@
     return "unknown";
 }
 
+bool answer_has_point(const rpc::call& what)
+{
+    return std::holds_alternative<rpc::execute_call>(what) ||
+           std::holds_alternative<rpc::statement_call>(what) ||
+           std::holds_alternative<rpc::commit_call>(what) ||
+           std::holds_alternative<rpc::probe_call>(what);
+}
+
 admission::fair_queue_options queue_options(std::size_t bound)
 {
     admission::fair_queue_options options;
@@ -124,6 +132,7 @@
                             "a taken connection exists");
     holder.m_call = m_pool.next_call(connection);
     holder.m_in_call = true;
+    holder.m_has_point = answer_has_point(what);
     holder.m_sent_at = now;
     holder.m_rows.clear();
     ++m_calls_in_flight;
@@ -196,8 +205,13 @@
     if (!part.m_end.has_value())
         return;
     // A part that got lost would leave the answer short of rows; the count in
-    // the end mark shows it.
-    if (part.m_end->m_row_count != holder.m_rows.size())
+    // the end mark shows it. An answer without a point answers another kind of
+    // call, such as a ping.
+    const bool misses_point =
+        holder.m_has_point &&
+        part.m_end->m_outcome == rpc::call_outcome::done &&
+        part.m_end->m_point.m_term == base::term(0);
+    if (misses_point || part.m_end->m_row_count != holder.m_rows.size())
     {
         m_shared.m_metrics.counter("answers.incomplete").add(1);
         m_pool.discard(connection, now);
--- a/lib/proxy/endpoint_runtime.hpp
+++ b/lib/proxy/endpoint_runtime.hpp
@@ -99,6 +99,8 @@
         std::shared_ptr<job> m_job;
         base::call_id m_call;
         bool m_in_call = false;
+        // A successful answer to the call has a point in the log.
+        bool m_has_point = false;
         base::instant m_sent_at;
         std::vector<rpc::row> m_rows;
     };
--- /dev/null
+++ b/test/support/process.cpp
@@ -0,0 +1,84 @@
+#include "process.hpp"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace magnoliastack::test
+{
+
+process::process(const std::string& binary,
+                 const std::vector<std::string>& arguments,
+                 const std::string& log)
+{
+    const std::string path = std::string(MAGNOLIASTACK_BIN) + "/" + binary;
+    std::vector<char*> argv{const_cast<char*>(path.c_str())};
+    for (const std::string& argument : arguments)
+        argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    const int failed = posix_spawn(&m_pid, path.c_str(), &actions, nullptr,
+                                   argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0)
+        throw std::runtime_error("cannot start " + path);
+}
+
+process::~process()
+{
+    if (m_pid < 0)
+        return;
+    signal(SIGCONT);
+    signal(SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+}
+
+void process::signal(int number) const
+{
+    if (m_pid > 0)
+        kill(m_pid, number);
+}
+
+int process::wait_for_exit(int seconds)
+{
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    while (std::chrono::steady_clock::now() < end)
+    {
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid)
+        {
+            m_pid = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return -1;
+}
+
+int free_port()
+{
+    const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(socket_fd, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &size);
+    close(socket_fd);
+    return ntohs(address.sin_port);
+}
+
+} // namespace magnoliastack::test
--- /dev/null
+++ b/test/support/process.hpp
@@ -0,0 +1,45 @@
+// Child processes of the process-level tests.
+#ifndef MAGNOLIASTACK_TEST_SUPPORT_PROCESS_HPP
+#define MAGNOLIASTACK_TEST_SUPPORT_PROCESS_HPP
+
+#include <csignal>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace magnoliastack::test
+{
+
+// One child process; killed at the end of its life.
+class process
+{
+public:
+    // Starts build/bin/`binary`; its output goes to `log`.
+    process(const std::string& binary,
+            const std::vector<std::string>& arguments, const std::string& log);
+    ~process();
+
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    void signal(int number) const;
+
+    // Waits up to `seconds` for the exit; the exit code, or -1 when a signal
+    // ended it or it still runs.
+    int wait_for_exit(int seconds);
+
+    [[nodiscard]] pid_t pid() const
+    {
+        return m_pid;
+    }
+
+private:
+    pid_t m_pid = -1;
+};
+
+// A TCP port of the loopback interface that was free just now.
+int free_port();
+
+} // namespace magnoliastack::test
+
+#endif
