Derive quorum sets from the roster in the configuration too

The content now has a roster of the hosts that the author of a change knew, with the time since each was listed; keepers and judges add it to their quorum sets, and a judge accepts nothing before it has seen a roster. Ruled out: a minimum uptime of the judge, which would have to exceed the longest partition.

--- a/include/magnoliastack/configuration/acceptance.hpp
+++ b/include/magnoliastack/configuration/acceptance.hpp
@@ -100,6 +100,10 @@
 // but it is in the list for the join delay before it has a vote again, so this
 // is only said while lists arrive without gaps as long as that.
 //
+// A judge that has just started knows only hosts that the platform still lists,
+// which may be the smaller part of a partition. It takes the others from the
+// roster in the configuration, and so does the quorum set of a keeper.
+//
 // Assumption: the quorum set of a running host is one that the judge has had
 // within the list retention, or differs from it so little that majorities
 // intersect. It can only fail when more than half of the hosts are new to a
@@ -114,6 +118,13 @@
     void hosts_listed(const std::vector<rpc::listed_host>& hosts,
                       base::instant sent_at, base::instant now);
 
+    // This host has put a configuration in force that has this roster. Nothing
+    // is accepted before the first call.
+    void roster_seen(const std::vector<roster_host>& roster, base::instant now);
+
+    // What a change that is made on this host puts into its content.
+    [[nodiscard]] std::vector<roster_host> roster(base::instant now) const;
+
     // The row was seen to hold `version`, by a read or by a swap.
     void row_seen(base::configuration_version version, base::instant now);
 
@@ -160,6 +171,7 @@
     judge_options m_options;
     quorum_history m_quorum;
     std::optional<base::instant> m_list_sent_at;
+    bool m_roster_known = false;
     // The first instant at which the row was known to hold at least a version.
     absl::btree_map<base::configuration_version, base::instant> m_row_seen;
     absl::btree_map<base::configuration_version, evidence> m_evidence;
--- a/include/magnoliastack/configuration/content.hpp
+++ b/include/magnoliastack/configuration/content.hpp
@@ -6,6 +6,8 @@
 #include "magnoliastack/base/ids.hpp"
 #include "magnoliastack/credentials/key_record.hpp"
 
+#include "absl/time/time.h"
+
 #include <string>
 #include <vector>
 
@@ -19,6 +21,16 @@
 // needs less than 1 MB.
 inline constexpr std::size_t max_object_size = 16U << 20U;
 
+// A host that may serve, and how long it had not been in the platform's list
+// when the change was made.
+struct roster_host
+{
+    base::host_id m_host;
+    absl::Duration m_unlisted_for;
+
+    bool operator==(const roster_host&) const = default;
+};
+
 // All that operators configure. Contains token secrets: it goes to the store
 // and to peers and is never logged.
 struct content
@@ -27,6 +39,10 @@
     std::vector<credentials::key_record> m_keys;
     // The first one signs session tokens; the others are still accepted.
     std::vector<std::string> m_token_secrets;
+    // From acceptance_judge::roster at the host that makes the change. A host
+    // that has just started learns from it of hosts that the platform cannot
+    // reach and has dropped from the list.
+    std::vector<roster_host> m_roster;
 
     bool operator==(const content&) const = default;
 };
--- a/include/magnoliastack/configuration/keeper.hpp
+++ b/include/magnoliastack/configuration/keeper.hpp
@@ -173,7 +173,8 @@
 
     [[nodiscard]] base::configuration_version version() const;
     void learn(base::configuration_version version);
-    bool activate(const change_record& change, const std::string& bytes);
+    bool activate(const change_record& change, const std::string& bytes,
+                  base::instant now);
     void confirm(base::instant at);
     void confirm_by_row(base::instant sent_at);
     void confirm_by_majority(base::instant now);
--- a/include/magnoliastack/configuration/quorum.hpp
+++ b/include/magnoliastack/configuration/quorum.hpp
@@ -5,6 +5,7 @@
 
 #include "magnoliastack/base/ids.hpp"
 #include "magnoliastack/base/time.hpp"
+#include "magnoliastack/configuration/content.hpp"
 #include "magnoliastack/rpc/platform_link.hpp"
 
 #include "absl/container/btree_map.h"
@@ -36,7 +37,9 @@
 // those that were listed within the retention and have not left since: the
 // platform drops hosts that it cannot reach, and if these were forgotten at
 // once, both sides of a partition could call themselves a majority. A host
-// that was listed as leaving is forgotten when the list drops it.
+// that was listed as leaving is forgotten when the list drops it. A host that
+// has just started has seen no list from before a partition; it takes the hosts
+// from the roster in the configuration.
 class quorum_history
 {
 public:
@@ -46,6 +49,13 @@
     void hosts_listed(const std::vector<rpc::listed_host>& hosts,
                       base::instant now);
 
+    // A configuration arrived with the hosts that its author knew. They belong
+    // to the set as if they had been listed that long ago.
+    void roster_seen(const std::vector<roster_host>& roster, base::instant now);
+
+    // The set in force for the next change's roster.
+    [[nodiscard]] std::vector<roster_host> roster(base::instant now) const;
+
     // The set in force, empty before the first list and when the last list is
     // older than the retention.
     [[nodiscard]] std::vector<base::host_id> current(base::instant now) const;
@@ -83,6 +93,8 @@
         base::instant m_last_in_force;
     };
 
+    void update_set(base::instant now);
+
     absl::Duration m_retention;
     std::optional<base::instant> m_last_list;
     base::instant m_without_gap_since;
--- a/lib/configuration/acceptance.cpp
+++ b/lib/configuration/acceptance.cpp
@@ -44,6 +44,18 @@
     m_list_sent_at = sent_at;
 }
 
+void acceptance_judge::roster_seen(const std::vector<roster_host>& roster,
+                                   base::instant now)
+{
+    m_quorum.roster_seen(roster, now);
+    m_roster_known = true;
+}
+
+std::vector<roster_host> acceptance_judge::roster(base::instant now) const
+{
+    return m_quorum.roster(now);
+}
+
 void acceptance_judge::row_seen(base::configuration_version version,
                                 base::instant now)
 {
@@ -189,6 +201,7 @@
             answer.m_pending.push_back(host);
     }
     answer.m_accepted = answer.m_pending.empty() && row_since &&
+                        m_roster_known &&
                         (others_stopped || (all_announced && list_is_new));
     if (m_evidence.size() > max_versions)
         drop_oldest(m_evidence);
--- a/lib/configuration/content.cpp
+++ b/lib/configuration/content.cpp
@@ -61,6 +61,13 @@
     }
     for (const std::string& secret : value.m_token_secrets)
         message.add_token_secrets(secret);
+    for (const roster_host& host : value.m_roster)
+    {
+        stored::RosterHost& entry = *message.add_roster();
+        entry.set_id(host.m_host.str());
+        entry.set_unlisted_seconds(static_cast<std::uint64_t>(
+            absl::ToInt64Seconds(host.m_unlisted_for)));
+    }
     return to_bytes(message);
 }
 
@@ -82,6 +89,9 @@
                                 record.salt(), record.digest()});
     value.m_token_secrets.assign(message.token_secrets().begin(),
                                  message.token_secrets().end());
+    for (const stored::RosterHost& entry : message.roster())
+        value.m_roster.push_back({base::host_id(entry.id()),
+                                  absl::Seconds(entry.unlisted_seconds())});
     return value;
 }
 
--- a/lib/configuration/keeper.cpp
+++ b/lib/configuration/keeper.cpp
@@ -112,7 +112,7 @@
         m_wanted->m_hash != hash || m_wanted->m_version <= version())
         return;
     const change_record wanted = *m_wanted;
-    if (activate(wanted, **answer) && m_row_confirms_at)
+    if (activate(wanted, **answer, now) && m_row_confirms_at)
         confirm_by_row(*m_row_confirms_at);
     confirm_by_majority(now);
 }
@@ -132,7 +132,7 @@
     learn(answer->m_version);
     const change_record change{answer->m_version, answer->m_hash,
                                answer->m_change_id, answer->m_author};
-    if (activate(change, answer->m_content) && m_wanted &&
+    if (activate(change, answer->m_content, now) && m_wanted &&
         m_wanted->m_version == change.m_version && m_row_confirms_at)
         confirm_by_row(*m_row_confirms_at);
     confirm_by_majority(now);
@@ -224,7 +224,8 @@
     m_highest = std::max(m_highest, version);
 }
 
-bool keeper::activate(const change_record& change, const std::string& bytes)
+bool keeper::activate(const change_record& change, const std::string& bytes,
+                      base::instant now)
 {
     MAGNOLIASTACK_INVARIANT(change.m_version > version(),
                             "a host only moves to a higher version");
@@ -249,6 +250,7 @@
         return false;
     }
     m_problem.clear();
+    m_quorum.roster_seen(parsed->m_roster, now);
     m_active = active_configuration{change, std::move(*parsed), bytes};
     absl::erase_if(m_holders,
                    [&](const auto& item)
--- a/lib/configuration/quorum.cpp
+++ b/lib/configuration/quorum.cpp
@@ -18,6 +18,37 @@
         host.m_listed = false;
     for (const rpc::listed_host& listed : hosts)
         m_hosts[listed.m_host] = {now, true, listed.m_leaving, {}};
+    update_set(now);
+}
+
+void quorum_history::roster_seen(const std::vector<roster_host>& roster,
+                                 base::instant now)
+{
+    for (const roster_host& entry : roster)
+    {
+        const auto [found, is_new] = m_hosts.try_emplace(entry.m_host);
+        known_host& known = found->second;
+        const base::instant listed = now - entry.m_unlisted_for;
+        if (is_new || (!known.m_left_since && known.m_last_listed < listed))
+            known.m_last_listed = listed;
+    }
+    update_set(now);
+}
+
+std::vector<roster_host> quorum_history::roster(base::instant now) const
+{
+    std::vector<roster_host> hosts;
+    for (const base::host_id& host : current(now))
+    {
+        const auto known = m_hosts.find(host);
+        if (known != m_hosts.end())
+            hosts.push_back({host, now - known->second.m_last_listed});
+    }
+    return hosts;
+}
+
+void quorum_history::update_set(base::instant now)
+{
     absl::erase_if(m_hosts,
                    [&](const auto& item)
                    {
--- a/unittests/configuration/content_test.cpp
+++ b/unittests/configuration/content_test.cpp
@@ -17,6 +17,7 @@
                             base::organisation_id("workshop"),
                             std::string("\0salt", 5), "digest"});
     value.m_token_secrets = {"first", "second"};
+    value.m_roster.push_back({base::host_id("h1"), absl::Seconds(30)});
     const std::string bytes = configuration::serialize(value);
     const auto read = configuration::parse(bytes);
     cr_assert(read.has_value());
--- a/unittests/configuration/fleet_simulation.cpp
+++ b/unittests/configuration/fleet_simulation.cpp
@@ -66,6 +66,7 @@
     std::unique_ptr<acceptance_judge> m_judge;
     std::vector<heard> m_heard;
     std::uint64_t m_highest_held = 0;
+    std::uint64_t m_roster_version = 0;
     moment m_announced_at = -1e9;
     bool m_announced_leaving = false;
 };
@@ -84,7 +85,18 @@
     explicit simulation(const simulation_options& options)
         : m_options(options), m_random(options.m_seed)
     {
-        const std::size_t count = between(3, 7);
+        const bool race = is(scenario::clock_race);
+        std::size_t count =
+            race || is(scenario::late_answers) ? 3 : between(3, 7);
+        if (is(scenario::restart_among_minority))
+            count = 5;
+        if (race)
+        {
+            m_tick_interval = 10;
+            m_exchange_interval = 10;
+            m_judge_interval = 10;
+            m_check_interval = 5;
+        }
         const std::size_t domains = between(2, 4);
         m_cut.assign(count, std::vector<bool>(count, false));
         m_no_platform.assign(count, false);
@@ -97,6 +109,8 @@
             // Half of the clocks are at the limits, where races are closest.
             made.m_rate = chance(0.5) ? (chance(0.5) ? 0.99 : 1.01)
                                       : 0.99 + 0.02 * uniform();
+            if (race)
+                made.m_rate = index + 1 == count ? 0.99 : 1.01;
             made.m_offset = uniform() * 1e6;
             made.m_contacts.assign(count, 0);
         }
@@ -203,6 +217,8 @@
     }
     moment delay()
     {
+        if (is(scenario::clock_race))
+            return 0.2 + uniform();
         if (m_now < m_slow_until && chance(0.5))
             return 100 + 1'700 * uniform();
         return chance(0.95) ? 0.5 + 15 * uniform() : 300 * uniform();
@@ -226,11 +242,11 @@
         on.m_leaving = false;
         on.m_paused_until = 0;
         on.m_highest_held = 0;
+        on.m_roster_version = 0;
         keeper_options keeping;
         keeping.m_self = id_of(index);
         keeping.m_random_seed = m_random();
-        if (m_options.m_removed == removed::list_retention)
-            keeping.m_list_retention = absl::ZeroDuration();
+
         on.m_keeper = std::make_unique<keeper>(keeping, m_checker);
         judge_options judging;
         judging.m_self = id_of(index);
@@ -240,8 +256,7 @@
         // Together with the smallest margin of 500 ms this is the bound.
         if (m_options.m_removed == removed::margin)
             judging.m_bound = absl::Milliseconds(bound - 500);
-        if (m_options.m_removed == removed::list_retention)
-            judging.m_list_retention = absl::ZeroDuration();
+
         on.m_judge = std::make_unique<acceptance_judge>(judging);
         on.m_heard.assign(m_hosts.size(), heard());
         after_on(index, 50 * uniform(),
@@ -281,7 +296,7 @@
             else if (const auto* fetch = std::get_if<fetch_from_peer>(&next))
                 send_fetch(index, *fetch);
         }
-        after_on(index, 100,
+        after_on(index, m_tick_interval,
                  [this, index]()
                  {
                      tick(index);
@@ -298,14 +313,14 @@
               [this, index, incarnation, at_platform = std::move(at_platform),
                failed = std::move(failed)]()
               {
+                  // An answer that is under way arrives although the link
+                  // breaks.
                   const bool reached = reaches_platform(index);
                   auto answer = reached ? at_platform() : failed;
                   after(reached ? delay() : 500,
-                        [this, index, incarnation, answer, failed]()
+                        [this, index, incarnation, answer]()
                         {
-                            // The answer is lost when the link broke meanwhile.
-                            run_on(index, incarnation,
-                                   reaches_platform(index) ? answer : failed);
+                            run_on(index, incarnation, answer);
                         });
               });
     }
@@ -353,6 +368,7 @@
         {
             host& to = m_hosts[index];
             to.m_keeper->object_read(hash, answer, local(to));
+            note_version(to);
         };
         call_platform(
             index,
@@ -376,29 +392,20 @@
     {
         return !m_cut[one][other];
     }
-    // Sends a request from one host to another and its answer back.
+    // Sends a request from one host to another and its answer back. What is
+    // under way arrives although the link breaks.
     void call_host(std::size_t from, std::size_t to,
                    std::function<std::function<void()>()> at_host)
     {
-        after(delay(),
-              [this, from, to, at_host = std::move(at_host)]()
-              {
-                  if (!connected(from, to))
-                      return;
-                  after_on(to, 0,
-                           [this, from, to, at_host]()
-                           {
-                               auto answer = at_host();
-                               // Sent by the receiver, received by the process
-                               // that asked, checked by its closure.
-                               after(delay(),
-                                     [this, from, to, answer]()
-                                     {
-                                         if (connected(from, to))
-                                             answer();
-                                     });
-                           });
-              });
+        if (!connected(from, to))
+            return;
+        after_on(to, delay(),
+                 [this, from, to, at_host = std::move(at_host)]()
+                 {
+                     auto answer = at_host();
+                     if (connected(from, to))
+                         after(delay(), std::move(answer));
+                 });
     }
     void send_fetch(std::size_t index, const fetch_from_peer& fetch)
     {
@@ -425,10 +432,25 @@
                                      host& on = m_hosts[index];
                                      on.m_keeper->peer_object_read(
                                          id_of(to), object, local(on));
+                                     note_version(on);
                                  });
                       };
                   });
     }
+    // Passes a new configuration's roster on and starts faults that wait for
+    // it.
+    void note_version(host& on)
+    {
+        const active_configuration* active = on.m_keeper->active();
+        if (active == nullptr ||
+            active->m_change.m_version.value() == on.m_roster_version)
+            return;
+        on.m_roster_version = active->m_change.m_version.value();
+        on.m_judge->roster_seen(active->m_content.m_roster, local(on));
+        if (is(scenario::clock_race) && on.m_index == 1 &&
+            on.m_roster_version == 2)
+            cut({true, true, false}, true);
+    }
     // The version that a host reports of itself.
     std::uint64_t announced(const host& on) const
     {
@@ -445,7 +467,7 @@
             if (to != index)
                 send_exchange(index, to);
         }
-        after_on(index, 250,
+        after_on(index, m_exchange_interval,
                  [this, index]()
                  {
                      exchange(index);
@@ -576,6 +598,8 @@
                        const std::vector<rpc::listed_host>& hosts)
     {
         host& on = m_hosts[index];
+        if (m_options.m_removed == removed::list_retention)
+            on.m_keeper->hosts_listed(as_left(), local(on));
         on.m_keeper->hosts_listed(hosts, local(on));
         on.m_judge->hosts_listed(hosts, sent, local(on));
         m_last_list = hosts;
@@ -584,6 +608,7 @@
     {
         host& on = m_hosts[index];
         weaken(on);
+
         std::vector<host_report> reports;
         for (std::size_t about = 0; about < m_hosts.size(); ++about)
         {
@@ -605,7 +630,7 @@
             m_accepted = version;
             ++m_report.m_accepted_versions;
         }
-        after_on(index, 200,
+        after_on(index, m_judge_interval,
                  [this, index]()
                  {
                      judge(index);
@@ -628,30 +653,39 @@
             on.m_judge->hosts_listed(hosts, local(on), local(on));
         }
     }
+    // A list of all hosts as leaving: those that the next one lacks have left.
     std::vector<rpc::listed_host> as_left() const
     {
-        auto hosts = m_last_list;
-        for (rpc::listed_host& listed : hosts)
-            listed.m_leaving = true;
+        std::vector<rpc::listed_host> hosts;
+        for (const host& on : m_hosts)
+            hosts.push_back(
+                {id_of(on.m_index), "", base::failure_domain_id(), true});
         return hosts;
     }
+    [[nodiscard]] bool is(scenario kind) const
+    {
+        return m_options.m_scenario == kind;
+    }
+    // Whether operators and faults are random.
+    [[nodiscard]] bool is_random() const
+    {
+        return is(scenario::all_faults) || is(scenario::outages);
+    }
 
     // Operators.
     void plan_change()
     {
-        if (m_now < faults_end && !m_options.m_minority_change)
-        {
-            for (std::size_t racers = between(1, 3); racers > 0; --racers)
-                begin_change(between(0, m_hosts.size() - 1));
-            after(1'500 + 5'000 * uniform(),
-                  [this]()
-                  {
-                      plan_change();
-                  });
+        if (!is_random())
+            return begin_change(0);
+        if (m_now >= faults_end)
             return;
-        }
-        if (m_options.m_minority_change && m_row.m_version == 0)
-            begin_change(0);
+        for (std::size_t racers = between(1, 3); racers > 0; --racers)
+            begin_change(between(0, m_hosts.size() - 1));
+        after(1'500 + 5'000 * uniform(),
+              [this]()
+              {
+                  plan_change();
+              });
     }
     void begin_change(std::size_t index)
     {
@@ -664,6 +698,7 @@
         made.m_id = absl::StrCat("change-", m_operations.size());
         content next;
         next.m_inventory_text = made.m_id;
+        next.m_roster = on.m_judge->roster(local(on));
         made.m_change = std::make_unique<change>(
             active != nullptr ? active->m_change.m_version
                               : base::configuration_version(),
@@ -802,21 +837,22 @@
     // Faults.
     void plan_fault()
     {
-        if (m_options.m_minority_change)
-            return cut_minority_with_platform();
+        if (!is_random())
+            return plan_partition();
         if (m_now >= faults_end)
             return;
+        const bool all = is(scenario::all_faults);
         const std::size_t kind = between(0, 6);
-        if (kind <= 1 && m_options.m_partitions)
+        if (kind <= 1 && all)
             partition();
-        else if (kind == 2 && m_options.m_partitions)
+        else if (kind == 2 && all)
             cut_pairs();
-        else if (kind == 3 && m_options.m_outages)
+        else if (kind == 3)
             outage();
-        else if (kind == 4 && m_options.m_pauses)
+        else if (kind == 4 && all)
             m_hosts[between(0, m_hosts.size() - 1)].m_paused_until =
                 m_now + 300 + 8'000 * uniform();
-        else if (kind == 5 && m_options.m_restarts)
+        else if (kind == 5 && all)
             stop(between(0, m_hosts.size() - 1), chance(0.4));
         else if (kind == 6)
             m_slow_until = m_now + 1'000 + 4'000 * uniform();
@@ -843,13 +879,30 @@
             domain_side.push_back(chance(0.5));
         for (const host& on : m_hosts)
             side.push_back(domain_side[on.m_domain]);
-        cut(side, chance(0.5));
-        if (chance(0.3))
-            m_no_platform.assign(m_hosts.size(), true);
-        after(2'000 + 14'000 * uniform(),
-              [this]()
+        // Links are often slow before they break, and operators do not know.
+        if (chance(0.5))
+            m_slow_until = m_now + 3'000;
+        if (chance(0.5))
+            after(1'500 * uniform(),
+                  [this]()
+                  {
+                      begin_change(between(0, m_hosts.size() - 1));
+                  });
+        const bool platform_side = chance(0.5);
+        const bool platform_away = chance(0.3);
+        after(1'000 * uniform(),
+              [this, side, platform_side, platform_away]()
               {
-                  join();
+                  if (m_now >= faults_end)
+                      return;
+                  cut(side, platform_side);
+                  if (platform_away)
+                      m_no_platform.assign(m_hosts.size(), true);
+                  after(2'000 + 14'000 * uniform(),
+                        [this]()
+                        {
+                            join();
+                        });
               });
     }
     // Hosts that lose sight of some others and, apart from that, the platform.
@@ -869,8 +922,7 @@
     }
     void join()
     {
-        if (!m_options.m_minority_change || m_now >= faults_end)
-            cut(std::vector<bool>(m_hosts.size(), false), false);
+        cut(std::vector<bool>(m_hosts.size(), false), false);
     }
     void outage()
     {
@@ -905,17 +957,73 @@
                   start(index);
               });
     }
-    void cut_minority_with_platform()
+    void plan_partition()
     {
         std::vector<bool> side;
         for (std::size_t index = 0; index < m_hosts.size(); ++index)
-            side.push_back(index < (m_hosts.size() - 1) / 2);
+            side.push_back(index < minority());
+        if (is(scenario::clock_race))
+        {
+            // The last host sees only the second one, which moves the quorum.
+            m_cut[0][2] = m_cut[2][0] = m_no_platform[2] = true;
+            return begin_change(0);
+        }
+        if (is(scenario::late_answers))
+        {
+            m_slow_until = m_now + 1'500;
+            after(1'500,
+                  [this]()
+                  {
+                      begin_change(0);
+                  });
+            return after(1'500 + 100 * uniform(),
+                         [this]()
+                         {
+                             cut({true, true, false}, true);
+                         });
+        }
+        if (is(scenario::restart_among_minority))
+            return plan_restart();
         cut(side, true);
-        after(1'000,
+        if (is(scenario::platform_with_minority))
+            return after(1'000,
+                         [this]()
+                         {
+                             begin_change(0);
+                         });
+        // Long enough for the list to drop the majority's hosts.
+        after(8'000,
+              [this, side]()
+              {
+                  cut(side, false);
+              });
+        after(9'000,
+              [this]()
+              {
+                  begin_change(m_hosts.size() - 1);
+              });
+    }
+    // A host that has the new version restarts and then sees only those that
+    // have the old one.
+    void plan_restart()
+    {
+        cut({true, true, true, false, false}, true);
+        after(500,
               [this]()
               {
                   begin_change(0);
               });
+        after(9'000 + 2'000 * uniform(),
+              [this]()
+              {
+                  stop(2, false);
+                  cut({true, true, false, false, false}, true);
+                  m_no_platform.assign(m_hosts.size(), true);
+              });
+    }
+    [[nodiscard]] std::size_t minority() const
+    {
+        return (m_hosts.size() - 1) / 2;
     }
     void heal()
     {
@@ -934,7 +1042,7 @@
             if (on.m_running && !on.m_leaving && on.m_paused_until <= m_now)
                 check_host(on);
         }
-        after(20,
+        after(m_check_interval,
               [this]()
               {
                   check();
@@ -959,14 +1067,13 @@
             violation(absl::StrCat("host ", on.m_index,
                                    " is cut off for more than the bound and "
                                    "still confirmed"));
-        const bool only_outages = !m_options.m_partitions &&
-                                  !m_options.m_restarts && !m_options.m_pauses;
-        const bool in_majority = !m_options.m_minority_change ||
-                                 on.m_index >= (m_hosts.size() - 1) / 2;
-        if (only_outages && in_majority && held > 0 && m_now > 9'500 && !serves)
+        const bool expected =
+            is(scenario::outages) ||
+            (is(scenario::platform_with_minority) && on.m_index >= minority());
+        if (expected && held > 0 && m_now > 9'500 && !serves)
             violation(absl::StrCat("host ", on.m_index,
-                                   " is not confirmed although only the store "
-                                   "is away"));
+                                   " is not confirmed although a majority is "
+                                   "in contact"));
     }
     void note_contact(host& on)
     {
@@ -1041,6 +1148,10 @@
     std::vector<bool> m_no_platform;
     std::vector<std::vector<bool>> m_cut;
     moment m_slow_until = 0;
+    moment m_tick_interval = 100;
+    moment m_exchange_interval = 250;
+    moment m_judge_interval = 200;
+    moment m_check_interval = 20;
     std::uint64_t m_accepted = 0;
 };
 
--- a/unittests/configuration/fleet_simulation.hpp
+++ b/unittests/configuration/fleet_simulation.hpp
@@ -28,18 +28,36 @@
     list_retention,
 };
 
-// What may happen in a run.
+// What happens in a run.
+enum class scenario
+{
+    // Partitions, outages, lost answers, slow links, pauses, restarts and
+    // orderly stops, with racing operators.
+    all_faults,
+    // Outages of the store and slow links only.
+    outages,
+    // One long partition: the platform is on the side of a minority, which
+    // stores a change.
+    platform_with_minority,
+    // The same, but before the change the platform moves to the other side.
+    platform_moves,
+    // The last host, whose clock is slow, is cut off just as the second of
+    // three moves to a version; their clocks are fast.
+    clock_race,
+    // The last host is cut off while answers from before a change are still
+    // under way to it.
+    late_answers,
+    // A host that has confirmed a version restarts and sees only hosts that
+    // have not.
+    restart_among_minority,
+};
+
+// Seed and kind of a run.
 struct simulation_options
 {
     std::uint64_t m_seed = 1;
+    scenario m_scenario = scenario::all_faults;
     removed m_removed = removed::none;
-    bool m_partitions = true;
-    bool m_outages = true;
-    bool m_restarts = true;
-    bool m_pauses = true;
-    // Exactly one long partition: the platform is on the side of the minority,
-    // which stores a change.
-    bool m_minority_change = false;
 };
 
 // Outcome of a run.
