--- a/include/magnoliastack/proxy/core.hpp
+++ b/include/magnoliastack/proxy/core.hpp
@@ -31,6 +31,8 @@
     std::string m_peer_address;
     std::vector<std::string> m_seeds;
     absl::Duration m_monitor_interval = absl::Milliseconds(50);
+    // How long a read waits for a replica before it goes to the primary.
+    absl::Duration m_replica_wait = absl::Milliseconds(20);
     std::size_t m_queue_per_organisation = 256;
     // Requests and transactions in progress; more are refused at once.
     std::size_t m_max_requests = 20'000;
@@ -88,9 +90,9 @@
     void status(std::function<void(host_status)> done) override;
     void start_drain(std::function<void()> done) override;
 
-    void handle_exchange(
-        rpc::exchange_message message,
-        std::function<void(rpc::exchange_message)> reply) override;
+    void
+    handle_exchange(rpc::exchange_message message,
+                    std::function<void(rpc::exchange_message)> reply) override;
     void
     handle_borrow(rpc::borrow_request request,
                   std::function<void(rpc::borrow_response)> reply) override;
