Recognise a repeated change by its subject, connect the roster

A repeat of a change has another roster and so another hash, which would have made it look like a reused change id; the row now has the hash of the content without the roster. The control plane of the proxy passes the roster of the active configuration to the judge and puts its own into each change, without which nothing would be accepted any more.

--- a/include/magnoliastack/configuration/content.hpp
+++ b/include/magnoliastack/configuration/content.hpp
@@ -63,6 +63,9 @@
     std::string m_hash;
     std::string m_change_id;
     std::string m_author;
+    // Hash of the content without the roster, which differs between repeats of
+    // the same change. Empty when the record came from a peer.
+    std::string m_subject_hash = {};
 
     bool operator==(const change_record&) const = default;
 };
--- a/lib/configuration/change.cpp
+++ b/lib/configuration/change.cpp
@@ -35,6 +35,8 @@
 {
     m_change.m_version = base.next();
     m_change.m_hash = hash(m_bytes);
+    new_content.m_roster.clear();
+    m_change.m_subject_hash = hash(serialize(new_content));
     m_change.m_change_id = std::move(change_id);
     m_change.m_author = std::move(author);
     if (m_change.m_change_id.empty())
@@ -121,7 +123,7 @@
     const change_record& current = parsed->m_current;
     if (const change_record* same = find_change(*parsed, m_change.m_change_id))
     {
-        if (same->m_hash == m_change.m_hash)
+        if (same->m_subject_hash == m_change.m_subject_hash)
             return finish(change_state::stored, *same, "");
         return finish(
             change_state::invalid, *same,
--- a/lib/configuration/content.cpp
+++ b/lib/configuration/content.cpp
@@ -37,12 +37,13 @@
     message.set_hash(change.m_hash);
     message.set_change_id(change.m_change_id);
     message.set_author(change.m_author);
+    message.set_subject_hash(change.m_subject_hash);
 }
 
 change_record read(const stored::Change& message)
 {
     return {base::configuration_version(message.version()), message.hash(),
-            message.change_id(), message.author()};
+            message.change_id(), message.author(), message.subject_hash()};
 }
 
 } // namespace
--- a/lib/proxy/control_plane.cpp
+++ b/lib/proxy/control_plane.cpp
@@ -226,6 +226,7 @@
     if (!parsed.has_value())
         return;
     const std::unique_ptr<active_fleet> old = std::move(m_fleet);
+    m_judge.roster_seen(active->m_content.m_roster, now);
     m_fleet = std::make_unique<active_fleet>(
         active->m_change, *std::move(parsed), active->m_content);
     const absl::Duration bound = m_fleet->m_inventory.m_configuration_bound;
@@ -445,10 +446,11 @@
                                  std::string change_id, std::string author,
                                  std::function<void(change_result)> done)
 {
+    const base::instant now = m_shared.m_clock.now();
+    content.m_roster = m_judge.roster(now);
     m_changes.push_back(std::make_shared<running_change>(running_change{
         configuration::change(based_on, std::move(content),
-                              std::move(change_id), std::move(author),
-                              m_shared.m_clock.now()),
+                              std::move(change_id), std::move(author), now),
         std::move(done)}));
 }
 
