Divide part of the burst by slot and let demand follow the bucket

Cause: with 80 % of an organisation's callers on one host and a capacity of fraction * burst, a host with a small fraction could not hold one whole token.

Changed: half of the burst (at least one request per slot) is divided over the slots and never lent, the rest follows the fraction (ledger::burst_capacity, token_bucket::set_share); the demand counts the backlog and the tokens at hand, so that a host with a full bucket lends its rate; a lender that gave less than asked is asked again after 50 ms, doubling to 400 ms, instead of 150 ms always.

--- a/include/magnoliastack/admission/demand_meter.hpp
+++ b/include/magnoliastack/admission/demand_meter.hpp
@@ -19,7 +19,10 @@
     // demand within the target of 2 s.
     absl::Duration m_average = absl::Milliseconds(500);
     // Waiting requests are to be admitted within this time.
-    absl::Duration m_backlog_horizon = absl::Milliseconds(200);
+    absl::Duration m_backlog_horizon = absl::Milliseconds(400);
+    // Tokens are spent over this time before more of the rate is asked for;
+    // it has to be above the time that a loan takes.
+    absl::Duration m_token_horizon = absl::Seconds(1);
 };
 
 // Turns arrivals and the backlog into a demand for ledger::demand.
@@ -32,11 +35,10 @@
     void arrived(base::instant now);
 
     // Demand in millionths of `rate` (requests a second), with `backlog`
-    // requests waiting for a token. A host with demand asks at least for the
-    // fraction that holds one whole token of `burst`.
-    [[nodiscard]] std::uint64_t demand(double rate, double burst,
-                                       std::size_t backlog,
-                                       base::instant now) const;
+    // requests waiting and `tokens` in the bucket. A host with full buckets
+    // needs less than its arrivals, so others can have what it does not use.
+    [[nodiscard]] std::uint64_t demand(double rate, std::size_t backlog,
+                                       double tokens, base::instant now) const;
 
 private:
     [[nodiscard]] double arrival_rate(base::instant now) const;
--- a/include/magnoliastack/admission/token_bucket.hpp
+++ b/include/magnoliastack/admission/token_bucket.hpp
@@ -50,6 +50,11 @@
     void set_limits(double rate, double burst, std::uint64_t fraction,
                     base::instant valid_until, base::instant now);
 
+    // The same with a capacity that is not the fraction of the burst, as
+    // ledger::burst_capacity tells it (requests of this host).
+    void set_share(double rate, double capacity, std::uint64_t fraction,
+                   base::instant valid_until, base::instant now);
+
     // Takes one token. False when there is none or the limits have lapsed.
     bool try_take(base::instant now);
 
--- a/include/magnoliastack/share/ledger.hpp
+++ b/include/magnoliastack/share/ledger.hpp
@@ -48,14 +48,17 @@
     double m_floor = 0.1;
     // Kept above the own demand when lending, and asked for when borrowing.
     // Arrivals are random; without headroom the buckets run empty.
-    double m_headroom = 0.15;
+    double m_headroom = 0.1;
     // Time after which a loan that is still needed is renewed, well before its
     // end, so that one lost message does not end it.
     absl::Duration m_renew_after = absl::Milliseconds(700);
     // A request without an answer for this long counts as lost.
     absl::Duration m_request_timeout = absl::Milliseconds(400);
-    // How long a lender that gave less than asked is not asked for more.
-    absl::Duration m_refused_hold = absl::Milliseconds(150);
+    // How long a lender that gave less than asked is not asked for more: at
+    // first, and at most after it has done so repeatedly. Under scarcity every
+    // host asks every other, so the messages have to get fewer.
+    absl::Duration m_refused_hold = absl::Milliseconds(50);
+    absl::Duration m_longest_hold = absl::Milliseconds(400);
     // Time between repeats of a return that was not confirmed.
     absl::Duration m_return_interval = absl::Milliseconds(500);
     // Lenders asked at the same time for one resource.
@@ -127,6 +130,15 @@
     [[nodiscard]] base::instant usable_until(const std::string& resource,
                                              base::instant now) const;
 
+    // This host's part of an organisation's burst, in requests: input for
+    // token_bucket::set_share. Half of the burst, and at least one request per
+    // slot, is divided over the slots and never lent; the rest follows the
+    // fraction. Without the fixed part a host with a small fraction could not
+    // hold one whole token. With a burst below one request per slot, all of it
+    // follows the fraction.
+    [[nodiscard]] double burst_capacity(const std::string& resource,
+                                        double burst, base::instant now) const;
+
     // Sets what this host needs, in millionths or units.
     void demand(const std::string& resource, std::uint64_t amount,
                 base::instant now);
@@ -184,6 +196,7 @@
         // Send time and amount of the request without an answer yet.
         std::optional<std::pair<base::instant, std::uint64_t>> m_request;
         base::instant m_not_before;
+        absl::Duration m_hold;
         // An answer was lost; the lender may count on a loan that is unknown
         // here, which only matters for units.
         bool m_answer_lost = false;
@@ -210,6 +223,8 @@
     {
         std::uint64_t m_usable = 0;
         std::uint64_t m_lendable = 0;
+        // Slots whose floor may be used.
+        std::size_t m_slots = 0;
     };
 
     [[nodiscard]] const kind_timing& timing(const entry& item) const;
@@ -222,6 +237,7 @@
     [[nodiscard]] std::uint64_t target(const entry& item) const;
     [[nodiscard]] std::uint64_t needed_loans(const entry& item,
                                              base::instant now) const;
+    void hold_lender(lender_state& lender, base::instant now) const;
     void drop_lapsed(entry& item, base::instant now);
     void add_return(entry& item, const base::host_id& host, base::loan_id loan,
                     base::instant now);
--- a/lib/admission/demand_meter.cpp
+++ b/lib/admission/demand_meter.cpp
@@ -17,18 +17,18 @@
     m_updated = now;
 }
 
-std::uint64_t demand_meter::demand(double rate, double burst,
-                                   std::size_t backlog, base::instant now) const
+std::uint64_t demand_meter::demand(double rate, std::size_t backlog,
+                                   double tokens, base::instant now) const
 {
     const double wanted =
         arrival_rate(now) +
         static_cast<double>(backlog) /
-            absl::ToDoubleSeconds(m_options.m_backlog_horizon);
+            absl::ToDoubleSeconds(m_options.m_backlog_horizon) -
+        tokens / absl::ToDoubleSeconds(m_options.m_token_horizon);
     if (wanted < 0.01 || rate <= 0.0)
         return 0;
-    const double part =
-        std::max(wanted / rate, burst >= 1.0 ? 1.0 / burst : 0.0);
-    return static_cast<std::uint64_t>(std::ceil(std::min(part, 1.0) * 1e6));
+    return static_cast<std::uint64_t>(
+        std::ceil(std::min(wanted / rate, 1.0) * 1e6));
 }
 
 double demand_meter::arrival_rate(base::instant now) const
--- a/lib/admission/token_bucket.cpp
+++ b/lib/admission/token_bucket.cpp
@@ -5,6 +5,17 @@
 namespace magnoliastack::admission
 {
 
+namespace
+{
+
+double part_of(std::uint64_t fraction)
+{
+    return static_cast<double>(std::min(fraction, whole_fraction)) /
+           static_cast<double>(whole_fraction);
+}
+
+} // namespace
+
 token_bucket::token_bucket(token_bucket_options options) : m_options(options)
 {
 }
@@ -17,6 +28,13 @@
 
 void token_bucket::set_limits(double rate, double burst, std::uint64_t fraction,
                               base::instant valid_until, base::instant now)
+{
+    set_share(rate, burst * part_of(fraction), fraction, valid_until, now);
+}
+
+void token_bucket::set_share(double rate, double capacity,
+                             std::uint64_t fraction, base::instant valid_until,
+                             base::instant now)
 {
     if (!m_started)
     {
@@ -24,11 +42,9 @@
         m_updated = now;
     }
     advance(now);
-    const double part =
-        static_cast<double>(std::min(fraction, whole_fraction)) /
-        static_cast<double>(whole_fraction);
-    m_rate = std::max(rate, 0.0) * part / (1.0 + m_options.m_clock_drift);
-    m_capacity = std::max(burst, 0.0) * part;
+    m_rate = std::max(rate, 0.0) * part_of(fraction) /
+             (1.0 + m_options.m_clock_drift);
+    m_capacity = std::max(capacity, 0.0);
     m_tokens = std::min(m_tokens, m_capacity);
     m_valid_until = valid_until;
 }
--- a/lib/share/ledger.cpp
+++ b/lib/share/ledger.cpp
@@ -122,6 +122,21 @@
     return until;
 }
 
+double ledger::burst_capacity(const std::string& resource, double burst,
+                              base::instant now) const
+{
+    const auto found = m_entries.find(resource);
+    if (found == m_entries.end() || !is_confirmed(found->second, now))
+        return 0;
+    const auto slot_count = static_cast<double>(m_slot_count);
+    const double fixed =
+        burst < slot_count ? 0 : std::max(burst / 2, slot_count);
+    const auto slots = static_cast<double>(own(found->second, now).m_slots);
+    return fixed / slot_count * slots +
+           (burst - fixed) * static_cast<double>(usable(resource, now)) /
+               static_cast<double>(whole);
+}
+
 void ledger::demand(const std::string& resource, std::uint64_t amount,
                     base::instant now)
 {
@@ -206,12 +221,14 @@
     if (!result)
     {
         lender.m_answer_lost = true;
-        lender.m_not_before = now + m_options.m_refused_hold;
+        hold_lender(lender, now);
         return;
     }
     lender.m_answer_lost = false;
     if (result->m_amount < request.m_amount)
-        lender.m_not_before = now + m_options.m_refused_hold;
+        hold_lender(lender, now);
+    else
+        lender.m_hold = absl::ZeroDuration();
     const absl::Duration length =
         std::min(result->m_length, m_options.m_timing.m_loan);
     const grant taken{result->m_loan,
@@ -336,11 +353,13 @@
         {
             result.m_usable += share;
             result.m_lendable += share - floor;
+            ++result.m_slots;
         }
         else if (slot.m_origin == slot_origin::restarted)
         {
             // What the earlier process lent is out; it never lent the floor.
             result.m_usable += floor;
+            ++result.m_slots;
         }
     }
     return result;
@@ -389,6 +408,13 @@
                  own(item, now).m_usable);
 }
 
+void ledger::hold_lender(lender_state& lender, base::instant now) const
+{
+    lender.m_hold = std::clamp(lender.m_hold * 2, m_options.m_refused_hold,
+                               m_options.m_longest_hold);
+    lender.m_not_before = now + lender.m_hold;
+}
+
 void ledger::drop_lapsed(entry& item, base::instant now)
 {
     for (auto& [host, grants] : item.m_lent)
@@ -409,7 +435,7 @@
         {
             lender.m_request.reset();
             lender.m_answer_lost = true;
-            lender.m_not_before = now + m_options.m_refused_hold;
+            hold_lender(lender, now);
         }
         if (lender.m_grants.empty() || now < lender.m_grants.back().m_end)
             continue;
--- a/unittests/share/fleet.cpp
+++ b/unittests/share/fleet.cpp
@@ -234,14 +234,11 @@
         if (other != index && m_now - item.m_heard[other] < 1)
             peers.push_back(m_hosts[other].m_id);
     self.m_ledger.set_peers(peers, now);
+    std::uint64_t demand = item.m_greedy ? 900'000 : 10'000;
     if (m_options.m_arrivals)
-        self.m_ledger.demand(organisation,
-                             self.m_meter.demand(m_rate_now, m_options.m_burst,
-                                                 self.m_waiting.size(), now),
-                             now);
-    else
-        self.m_ledger.demand(organisation, item.m_greedy ? 900'000 : 10'000,
-                             now);
+        demand = self.m_meter.demand(m_rate_now, self.m_waiting.size(),
+                                     self.m_bucket.tokens(now), now);
+    self.m_ledger.demand(organisation, demand, now);
     self.m_ledger.demand(endpoint, item.m_greedy ? m_options.m_units : 1, now);
     const std::uint64_t usable = self.m_ledger.usable(endpoint, now);
     const std::uint64_t wanted =
@@ -326,6 +323,7 @@
     const double rate = m_options.m_arrivals(index, m_now);
     if (rate > 0)
     {
+        compare_with_one_bucket();
         item.m_process->m_meter.arrived(local(item));
         item.m_process->m_waiting.push_back(m_now + m_options.m_patience);
         admit(index);
@@ -339,6 +337,18 @@
             });
 }
 
+void fleet::compare_with_one_bucket()
+{
+    m_one_bucket =
+        std::max(m_one_bucket - m_options.m_rate * (m_now - m_one_bucket_at),
+                 -m_options.m_burst);
+    m_one_bucket_at = m_now;
+    if (m_one_bucket + 1 > m_options.m_rate * m_options.m_patience)
+        ++m_report.m_refused_by_one_bucket;
+    else
+        m_one_bucket += 1;
+}
+
 void fleet::admit(std::size_t index)
 {
     host& item = m_hosts[index];
@@ -371,9 +381,10 @@
     host& item = m_hosts[index];
     const base::instant now = local(item);
     const bool adopted = m_now >= m_rate_changed + item.m_adopts_config_after;
-    share::ledger& ledger = item.m_process->m_ledger;
-    item.m_process->m_bucket.set_limits(
-        adopted ? m_rate_now : m_rate_before, m_options.m_burst,
+    const share::ledger& ledger = item.m_process->m_ledger;
+    item.m_process->m_bucket.set_share(
+        adopted ? m_rate_now : m_rate_before,
+        ledger.burst_capacity(organisation, m_options.m_burst, now),
         ledger.usable(organisation, now),
         ledger.usable_until(organisation, now), now);
 }
--- a/unittests/share/fleet.hpp
+++ b/unittests/share/fleet.hpp
@@ -50,6 +50,8 @@
     std::int64_t m_worst_fraction = std::numeric_limits<std::int64_t>::min();
     std::uint64_t m_admitted = 0;
     std::uint64_t m_refused = 0;
+    // What one bucket with all of the rate and burst would have refused.
+    std::uint64_t m_refused_by_one_bucket = 0;
     // Time of the last refusal, in seconds.
     double m_last_refusal = 0;
     std::uint64_t m_loans = 0;
@@ -126,6 +128,7 @@
     void tick(std::size_t index);
     void exchange(std::size_t index);
     void arrive(std::size_t index);
+    void compare_with_one_bucket();
     void admit(std::size_t index);
     void apply(std::size_t index);
     void check_sums(std::size_t index);
@@ -158,6 +161,9 @@
     double m_rate_changed = -100;
     double m_excess;
     double m_excess_at = 0;
+    // Requests that one bucket is behind (below 0: its tokens).
+    double m_one_bucket = 0;
+    double m_one_bucket_at = 0;
     fleet_report m_report;
 };
 
