--- a/lib/logging/logging.cpp
+++ b/lib/logging/logging.cpp
@@ -20,6 +20,7 @@
 
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <iostream>
 #include <utility>
 
@@ -112,7 +113,15 @@
     writer->add_stream(
         boost::shared_ptr<std::ostream>(target, boost::null_deleter()));
     writer->auto_flush(true);
+    // The sink starts its thread here, which inherits the mask: a signal meant
+    // for the process must not be taken by this thread, whose default action
+    // would end the process without a planned stop.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
     m_state->m_sink = boost::make_shared<frontend>(writer);
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
     m_state->m_sink->set_formatter(boost::log::expressions::stream
                                    << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(m_state->m_sink);
--- a/lib/settings/document.cpp
+++ b/lib/settings/document.cpp
@@ -177,17 +177,25 @@
     {
         if (m_last_dropped)
             return;
-        if (current.m_entries.empty() || absl::StrContains(value, '='))
+        const auto equals = value.find('=');
+        if (!current.m_entries.empty() && equals == absl::string_view::npos)
         {
-            add_problem(
-                current.header(), "",
-                absl::StrCat("indented at `", shown(to_std(value)), "`"),
-                "no space before a key, as an indented line continues "
-                "the value above it");
+            auto& text = current.m_entries.back().m_value;
+            absl::StrAppend(&text, text.empty() ? "" : " ", value);
             return;
         }
-        auto& text = current.m_entries.back().m_value;
-        absl::StrAppend(&text, text.empty() ? "" : " ", value);
+        add_problem(current.header(), "",
+                    absl::StrCat("indented at `", shown(to_std(value)), "`"),
+                    "no space before a key, as an indented line continues "
+                    "the value above it");
+        // The key is kept, so that it is not reported as missing too.
+        const auto key = absl::StripAsciiWhitespace(value.substr(0, equals));
+        if (equals != absl::string_view::npos &&
+            current.find(to_std(key)) == nullptr)
+            current.m_entries.push_back({std::string(key),
+                                         std::string(absl::StripAsciiWhitespace(
+                                             value.substr(equals + 1))),
+                                         m_line});
     }
 
     void on_header()
--- a/lib/settings/schema.cpp
+++ b/lib/settings/schema.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -114,8 +115,8 @@
                             absl::FormatDuration(rule.m_longest),
                             ", such as 250ms");
     case key_type::rate:
-        return absl::StrCat("a rate from ", rule.m_lowest, "/s to ",
-                            rule.m_highest, "/s, such as 200/s");
+        return absl::StrFormat("a rate from %.12g/s to %.12g/s, such as 200/s",
+                               rule.m_lowest, rule.m_highest);
     case key_type::address:
         return "an IP address and a port, such as 127.0.0.1:7400";
     case key_type::boolean:
