--- a/include/magnoliastack/pool/endpoint_pool.hpp
+++ b/include/magnoliastack/pool/endpoint_pool.hpp
@@ -45,6 +45,9 @@
     absl::Duration m_close_after = absl::Milliseconds(750);
     // Time between pings of a connection that runs no call.
     absl::Duration m_idle_ping = absl::Seconds(1);
+    // Time for one call's answer. Beyond it the answer counts as lost, even on
+    // a connection that answers pings.
+    absl::Duration m_call_timeout = absl::Seconds(1);
     absl::Duration m_open_timeout = absl::Seconds(2);
     // Between two ticks further apart than this the host itself stood still,
     // so the silence says nothing about the endpoint.
@@ -64,6 +67,8 @@
 enum class close_reason
 {
     silent,
+    // The call has no answer although the connection is alive.
+    call_timeout,
     open_timeout,
     over_allowance,
     surplus,
@@ -110,6 +115,7 @@
 {
     std::uint64_t m_opened = 0;
     std::uint64_t m_closed_silent = 0;
+    std::uint64_t m_call_timeouts = 0;
     std::uint64_t m_refused_by_limit = 0;
     std::uint64_t m_open_failed = 0;
     std::uint64_t m_lost = 0;
@@ -200,6 +206,7 @@
         bool m_taken = false;
         base::call_id m_last_call;
         std::optional<base::call_id> m_call;
+        base::instant m_call_sent_at;
         std::optional<base::call_id> m_ping;
         // Pings before that which are not answered yet.
         std::set<base::call_id> m_earlier_pings;
--- a/include/magnoliastack/proxy/core.hpp
+++ b/include/magnoliastack/proxy/core.hpp
@@ -34,6 +34,9 @@
     // How long a read waits for a replica before it goes to the primary.
     absl::Duration m_replica_wait = absl::Milliseconds(20);
     std::size_t m_queue_per_organisation = 256;
+    // Time for one statement list at an endpoint; beyond it the answer counts
+    // as lost.
+    absl::Duration m_call_timeout = absl::Seconds(1);
     // Requests and transactions in progress; more are refused at once.
     std::size_t m_max_requests = 20'000;
 };
@@ -72,6 +75,9 @@
     // True when the planned stop is complete.
     [[nodiscard]] bool is_drained() const;
 
+    // Has the platform drop this host from its list; last step of a stop.
+    void announce_gone();
+
     void execute(caller_request request,
                  std::shared_ptr<caller_reply> reply) override;
     std::shared_ptr<transaction_handle>
--- a/include/magnoliastack/proxy_settings/proxy_settings.hpp
+++ b/include/magnoliastack/proxy_settings/proxy_settings.hpp
@@ -23,6 +23,9 @@
     std::uint32_t m_queue_per_organisation = 0;
     // How long a read waits for a replica that is about to become eligible.
     absl::Duration m_replica_wait;
+    // Time for an endpoint's answer to one call; beyond it the answer counts as
+    // lost and the outcome is settled on another connection.
+    absl::Duration m_call_timeout;
     // Time between two monitor rounds.
     absl::Duration m_monitor_interval;
     // Callers' connections.
--- a/lib/pool/endpoint_pool.cpp
+++ b/lib/pool/endpoint_pool.cpp
@@ -118,6 +118,7 @@
     MAGNOLIASTACK_INVARIANT(!item->m_call, "a connection runs one call");
     item->m_last_call = std::max(item->m_last_call, call);
     item->m_call = call;
+    item->m_call_sent_at = now;
     // A ping that is already out keeps its own start of silence.
     if (!item->m_ping)
         item->m_heard = now;
@@ -182,7 +183,10 @@
     for (auto& [generation, item] : m_connections)
     {
         if (stood_still)
+        {
             item.m_heard = now;
+            item.m_call_sent_at = now;
+        }
         check_silence(generation, item, now);
     }
     close_surplus();
@@ -270,6 +274,11 @@
                                   connection& item, base::instant now)
 {
     const absl::Duration silence = now - item.m_heard;
+    if (item.m_call && now - item.m_call_sent_at >= m_options.m_call_timeout)
+    {
+        ++m_counters.m_call_timeouts;
+        return begin_close(generation, item, close_reason::call_timeout);
+    }
     switch (item.m_state)
     {
     case connection_state::closed:
--- a/lib/proxy/control_plane.cpp
+++ b/lib/proxy/control_plane.cpp
@@ -13,6 +13,11 @@
 const absl::Duration peer_timeout = absl::Milliseconds(400);
 const absl::Duration list_interval = absl::Seconds(1);
 
+// How long a planned stop waits for loans to end, so that its slots can be
+// handed back. A slot that is not handed back is claimed by another host only
+// after connection_share_bound.
+const absl::Duration release_limit = absl::Seconds(40);
+
 // A dead host's connections return to the others after this long. It has to
 // outlast a partition of minutes, during which the cut-off failure domain
 // keeps its connections for open routes; a planned stop hands them over at
@@ -597,13 +602,18 @@
 
 void control_plane::release_shares(base::instant now)
 {
-    if (m_slots)
-        m_slots->release(now);
+    if (std::exchange(m_released, true) || !m_slots)
+        return;
+    m_release_deadline = now + release_limit;
+    m_slots->release(now);
 }
 
-bool control_plane::has_left() const
+bool control_plane::has_left(base::instant now) const
 {
-    return !m_slots || m_slots->is_released() || !m_keeper.is_store_reachable();
+    if (!m_slots || m_slots->is_released())
+        return true;
+    return m_released &&
+           (!m_keeper.is_store_reachable() || now >= m_release_deadline);
 }
 
 void control_plane::announce_gone()
--- a/lib/proxy/control_plane.hpp
+++ b/lib/proxy/control_plane.hpp
@@ -101,8 +101,8 @@
     void leave(base::instant now);
     // Second step, once no request runs: slots are handed back.
     void release_shares(base::instant now);
-    // True when the slots were released or the store cannot be reached.
-    [[nodiscard]] bool has_left() const;
+    // True when the slots were released, or waiting for that does not help.
+    [[nodiscard]] bool has_left(base::instant now) const;
     // Tells the platform that the process stops.
     void announce_gone();
 
@@ -158,6 +158,8 @@
     std::vector<std::shared_ptr<running_change>> m_changes;
     base::instant m_next_list;
     bool m_leaving = false;
+    bool m_released = false;
+    base::instant m_release_deadline;
     bool m_was_confirmed = false;
 };
 
--- a/lib/proxy/core.cpp
+++ b/lib/proxy/core.cpp
@@ -97,6 +97,11 @@
     m_state->drain();
 }
 
+void core::announce_gone()
+{
+    m_state->control().announce_gone();
+}
+
 bool core::is_drained() const
 {
     return m_state->is_drained();
--- a/lib/proxy/core_state.cpp
+++ b/lib/proxy/core_state.cpp
@@ -111,7 +111,8 @@
             next[id] = std::make_unique<group_runtime>(
                 m_shared, description, endpoints,
                 group_options{m_options.m_monitor_interval,
-                              m_options.m_queue_per_organisation});
+                              {m_options.m_queue_per_organisation,
+                               m_options.m_call_timeout}});
     }
     m_groups = std::move(next);
 }
@@ -167,7 +168,8 @@
 
 bool core::state::is_drained() const
 {
-    return m_draining && m_jobs.empty() && m_control.has_left();
+    return m_draining && m_jobs.empty() &&
+           m_control.has_left(m_shared.m_clock.now());
 }
 
 absl::Duration core::state::jittered(absl::Duration delay)
--- a/lib/proxy/endpoint_runtime.cpp
+++ b/lib/proxy/endpoint_runtime.cpp
@@ -17,6 +17,8 @@
     {
     case pool::close_reason::silent:
         return "silent";
+    case pool::close_reason::call_timeout:
+        return "call_timeout";
     case pool::close_reason::open_timeout:
         return "open_timeout";
     case pool::close_reason::over_allowance:
@@ -46,15 +48,22 @@
     return options;
 }
 
+pool::pool_options pool_options(const endpoint_options& options)
+{
+    pool::pool_options result;
+    result.m_call_timeout = options.m_call_timeout;
+    return result;
+}
+
 } // namespace
 
 endpoint_runtime::endpoint_runtime(context& shared,
                                    inventory::endpoint description,
-                                   std::size_t queue_bound,
+                                   const endpoint_options& options,
                                    placement_check& check)
     : m_shared(shared), m_description(std::move(description)), m_check(check),
-      m_pool(m_description.m_id, pool::pool_options(), shared.m_generations),
-      m_queue(queue_options(queue_bound))
+      m_pool(m_description.m_id, pool_options(options), shared.m_generations),
+      m_queue(queue_options(options.m_queue_bound))
 {
 }
 
--- a/lib/proxy/endpoint_runtime.hpp
+++ b/lib/proxy/endpoint_runtime.hpp
@@ -34,12 +34,21 @@
     virtual void place_again(std::shared_ptr<job> what, base::instant now) = 0;
 };
 
+// Settings of an endpoint at this host.
+struct endpoint_options
+{
+    // Waiting requests of one organisation.
+    std::size_t m_queue_bound = 256;
+    // Time for one call's answer.
+    absl::Duration m_call_timeout = absl::Seconds(1);
+};
+
 // Carries out the decisions of the pool, the fair queue and the limits.
 class endpoint_runtime
 {
 public:
     endpoint_runtime(context& shared, inventory::endpoint description,
-                     std::size_t queue_bound, placement_check& check);
+                     const endpoint_options& options, placement_check& check);
     ~endpoint_runtime();
 
     endpoint_runtime(const endpoint_runtime&) = delete;
--- a/lib/proxy/group_runtime.cpp
+++ b/lib/proxy/group_runtime.cpp
@@ -37,7 +37,7 @@
     {
         m_shared.m_sink.add_endpoint(item.m_id, *this);
         m_endpoints[item.m_id] = std::make_unique<endpoint_runtime>(
-            shared, item, options.m_queue_bound, *this);
+            shared, item, options.m_endpoint, *this);
         m_monitors[item.m_id] = m_shared.m_endpoints.monitor(
             item.m_id, item.m_address, m_shared.m_sink);
     }
--- a/lib/proxy/group_runtime.hpp
+++ b/lib/proxy/group_runtime.hpp
@@ -24,7 +24,7 @@
 struct group_options
 {
     absl::Duration m_monitor_interval = absl::Milliseconds(50);
-    std::size_t m_queue_bound = 256;
+    endpoint_options m_endpoint;
 };
 
 // Carries out the decisions of group_view, routing and the failover
--- a/lib/proxy/host_process.cpp
+++ b/lib/proxy/host_process.cpp
@@ -173,6 +173,7 @@
 
     void finish_drain()
     {
+        m_core->announce_gone();
         m_log.info("drained", {});
         m_drained.store(true);
     }
--- a/lib/proxy_settings/proxy_settings.cpp
+++ b/lib/proxy_settings/proxy_settings.cpp
@@ -37,6 +37,8 @@
          {integer_key("queue_per_organisation", 1, 100'000, "256"),
           settings::duration_key("replica_wait", absl::ZeroDuration(),
                                  absl::Seconds(1), "20ms"),
+          settings::duration_key("call_timeout", absl::Milliseconds(100),
+                                 absl::Minutes(10), "1s"),
           settings::duration_key("monitor_interval", absl::Milliseconds(10),
                                  absl::Seconds(1), "50ms"),
           integer_key("max_callers", 1, 1'000'000, "20000")}},
@@ -184,7 +186,8 @@
     const auto bounds = view("limits");
     result.m_limits = {
         static_cast<std::uint32_t>(bounds.integer("queue_per_organisation")),
-        bounds.duration("replica_wait"), bounds.duration("monitor_interval"),
+        bounds.duration("replica_wait"), bounds.duration("call_timeout"),
+        bounds.duration("monitor_interval"),
         static_cast<std::uint32_t>(bounds.integer("max_callers"))};
     const auto tls = view("tls");
     result.m_tls = {tls.text("certificate"),      tls.text("private_key"),
--- a/tools/magnolia-proxy/main.cpp
+++ b/tools/magnolia-proxy/main.cpp
@@ -59,6 +59,7 @@
     options.m_core.m_seeds = settings.m_seeds;
     options.m_core.m_monitor_interval = settings.m_limits.m_monitor_interval;
     options.m_core.m_replica_wait = settings.m_limits.m_replica_wait;
+    options.m_core.m_call_timeout = settings.m_limits.m_call_timeout;
     options.m_core.m_queue_per_organisation =
         settings.m_limits.m_queue_per_organisation;
     options.m_core.m_max_requests = settings.m_limits.m_max_callers;
