--- a/include/magnoliastack/standin_server/endpoint_server.hpp
+++ b/include/magnoliastack/standin_server/endpoint_server.hpp
@@ -20,6 +20,8 @@
     standin::endpoint_options m_model;
     // Address of each other member.
     std::map<base::endpoint_id, std::string> m_addresses;
+    // Keeps the durable state; empty for none.
+    std::string m_state_file;
 };
 
 // Serves one endpoint until it is destroyed.
@@ -34,7 +36,8 @@
     endpoint_server(const endpoint_server&) = delete;
     endpoint_server& operator=(const endpoint_server&) = delete;
 
-    [[nodiscard]] int port() const;
+    // IP address and port that it listens on.
+    [[nodiscard]] std::string address() const;
 
 private:
     class implementation;
--- a/include/magnoliastack/standin_server/platform_server.hpp
+++ b/include/magnoliastack/standin_server/platform_server.hpp
@@ -31,7 +31,8 @@
     platform_server(const platform_server&) = delete;
     platform_server& operator=(const platform_server&) = delete;
 
-    [[nodiscard]] int port() const;
+    // IP address and port that it listens on.
+    [[nodiscard]] std::string address() const;
 
 private:
     class implementation;
--- a/lib/standin_server/endpoint_server.cpp
+++ b/lib/standin_server/endpoint_server.cpp
@@ -2,8 +2,10 @@
 
 #include "conversion.hpp"
 #include "reactors.hpp"
+#include "state_file.hpp"
 #include "work_loop.hpp"
 
+#include "magnoliastack/logging/logging.hpp"
 #include "magnoliastack/standin/fault_filter.hpp"
 #include "magnoliastack/v1/endpoint.grpc.pb.h"
 
@@ -121,8 +123,9 @@
 class endpoint_core
 {
 public:
-    explicit endpoint_core(endpoint_server_options options)
-        : m_filter(), m_model(options.m_model, m_clock.now()),
+    endpoint_core(const endpoint_server_options& options,
+                  std::optional<state_file> state)
+        : m_state(std::move(state)), m_model(make_model(options.m_model)),
           m_pulls(options.m_addresses), m_loop(
                                             [this](base::instant now)
                                             {
@@ -140,7 +143,7 @@
                 {
                     m_connections[number] = {host, stream};
                     m_filter.connection_opened(number);
-                    carry_out(m_model.connection_opened(number, now), now);
+                    carry_out(m_model->connection_opened(number, now), now);
                 });
         stream->start(
             [this, number, host](v1::CallRequest message)
@@ -201,8 +204,9 @@
                     if (call->is_finished())
                         return;
                     const rpc::control_answer answer =
-                        m_model.seal(base::term(request.term()),
-                                     base::host_id(request.promoter()), now);
+                        m_model->seal(base::term(request.term()),
+                                      base::host_id(request.promoter()), now);
+                    keep_state();
                     v1::SealResponse response;
                     response.set_sealed(answer.m_taken);
                     *response.mutable_status() = to_message(answer.m_status);
@@ -222,9 +226,10 @@
                 {
                     if (call->is_finished())
                         return;
-                    const rpc::control_answer answer =
-                        m_model.promote(base::term(request.term()),
-                                        base::host_id(request.promoter()), now);
+                    const rpc::control_answer answer = m_model->promote(
+                        base::term(request.term()),
+                        base::host_id(request.promoter()), now);
+                    keep_state();
                     v1::PromoteResponse response;
                     response.set_promoted(answer.m_taken);
                     *response.mutable_status() = to_message(answer.m_status);
@@ -247,7 +252,7 @@
                     const std::uint64_t ticket = ++m_last_ticket;
                     m_tickets[ticket] = {request.endpoint(), call};
                     carry_out(
-                        m_model.pull_received(ticket, to_pull(request), now),
+                        m_model->pull_received(ticket, to_pull(request), now),
                         now);
                 });
     }
@@ -259,6 +264,7 @@
         m_loop.post(
             [this, call, faults](base::instant now)
             {
+                m_logger.info("faults", {{"set", faults.ShortDebugString()}});
                 apply(faults, now);
                 call->reply({});
             });
@@ -270,14 +276,14 @@
             [this, call](base::instant now)
             {
                 v1::DumpResponse response;
-                *response.mutable_status() = to_message(m_model.status(now));
-                for (const auto& [key, value] : m_model.log().rows())
+                *response.mutable_status() = to_message(m_model->status(now));
+                for (const auto& [key, value] : m_model->log().rows())
                 {
                     v1::Row& row = *response.add_rows();
                     row.set_key(key);
                     row.set_value(value);
                 }
-                m_model.log().for_each_record(
+                m_model->log().for_each_record(
                     [&response](const standin::request_record& record)
                     {
                         *response.add_records() = to_message(record);
@@ -306,6 +312,23 @@
         std::shared_ptr<unary_call<v1::PullResponse>> m_call;
     };
 
+    std::unique_ptr<standin::endpoint_model>
+    make_model(const standin::endpoint_options& options)
+    {
+        if (m_state && m_state->has_state())
+            return std::make_unique<standin::endpoint_model>(
+                options, m_state->take(), m_clock.now());
+        return std::make_unique<standin::endpoint_model>(options,
+                                                         m_clock.now());
+    }
+
+    // Keeps what has changed; called before any answer is sent.
+    void keep_state()
+    {
+        if (m_state)
+            m_state->write(*m_model);
+    }
+
     base::connection_generation next_connection()
     {
         return base::connection_generation(++m_last_connection);
@@ -360,7 +383,7 @@
         const base::call_id id(message.call_id());
         if (call)
         {
-            carry_out(m_model.call_received(number, id, *std::move(call), now),
+            carry_out(m_model->call_received(number, id, *std::move(call), now),
                       now);
             return;
         }
@@ -373,7 +396,7 @@
     void connection_closed(base::connection_generation number,
                            base::instant now)
     {
-        m_model.connection_closed(number, now);
+        m_model->connection_closed(number, now);
         m_filter.connection_closed(number);
         m_connections.erase(number);
     }
@@ -385,7 +408,7 @@
         if (found == m_monitors.end() || m_filter.is_cut(found->second.m_host))
             return;
         found->second.m_round = std::max(found->second.m_round, round);
-        send_status(found->second, to_message(m_model.status(now)));
+        send_status(found->second, to_message(m_model->status(now)));
     }
 
     void send_status(const monitor_peer& peer, const v1::EndpointStatus& status)
@@ -420,6 +443,7 @@
 
     void carry_out(standin::endpoint_model::actions actions, base::instant now)
     {
+        keep_state();
         for (standin::endpoint_action& action : actions)
             std::visit(
                 [&](auto& item)
@@ -501,7 +525,7 @@
     {
         if (m_filter.is_cut(from.str()))
             answer = no_answer();
-        carry_out(m_model.pull_answered(from, number, std::move(answer), now),
+        carry_out(m_model->pull_answered(from, number, std::move(answer), now),
                   now);
     }
 
@@ -516,10 +540,10 @@
         if (faults.has_answer_delay_ms())
             m_answer_delay = absl::Milliseconds(faults.answer_delay_ms());
         if (faults.has_apply_delay_ms())
-            m_model.set_apply_delay(
+            m_model->set_apply_delay(
                 absl::Milliseconds(faults.apply_delay_ms()));
         if (faults.has_replication_delay_ms())
-            m_model.set_replication_delay(
+            m_model->set_replication_delay(
                 absl::Milliseconds(faults.replication_delay_ms()));
         if (faults.silence_open_connections())
             m_filter.silence_open_connections();
@@ -528,7 +552,7 @@
         if (faults.has_cross_answers())
             m_filter.cross_answers(faults.cross_answers());
         if (faults.has_leaving())
-            m_model.set_leaving(faults.leaving(), now);
+            m_model->set_leaving(faults.leaving(), now);
         if (faults.set_cut())
             m_filter.set_cut({faults.cut().begin(), faults.cut().end()});
         if (faults.has_frozen())
@@ -552,8 +576,8 @@
     {
         if (m_frozen)
             return std::nullopt;
-        carry_out(m_model.tick(now), now);
-        std::optional<base::instant> next = m_model.next_event();
+        carry_out(m_model->tick(now), now);
+        std::optional<base::instant> next = m_model->next_event();
         if (const auto push = push_status(now);
             push && (!next || *push < *next))
             next = push;
@@ -563,7 +587,7 @@
     // Tells the monitors of a change; returns when to try again.
     std::optional<base::instant> push_status(base::instant now)
     {
-        const rpc::endpoint_status status = m_model.status(now);
+        const rpc::endpoint_status status = m_model->status(now);
         const auto key = std::make_tuple(
             status.m_accepted_term, status.m_sealed_term, status.m_role,
             status.m_held, status.m_applied, status.m_leaving);
@@ -571,6 +595,7 @@
             return std::nullopt;
         if (now < m_last_push + push_interval)
             return m_last_push + push_interval;
+        log_role_change(status);
         m_pushed = key;
         m_last_push = now;
         const v1::EndpointStatus message = to_message(status);
@@ -580,6 +605,23 @@
         return std::nullopt;
     }
 
+    void log_role_change(const rpc::endpoint_status& status) const
+    {
+        if (std::get<0>(m_pushed) == status.m_accepted_term &&
+            std::get<1>(m_pushed) == status.m_sealed_term &&
+            std::get<2>(m_pushed) == status.m_role)
+            return;
+        m_logger.info(
+            "role", {{"endpoint", status.m_endpoint},
+                     {"role", v1::EndpointRole_Name(to_message(status).role())},
+                     {"accepted_term", status.m_accepted_term},
+                     {"sealed_term", status.m_sealed_term},
+                     {"sealed_by", status.m_sealed_by},
+                     {"held_term", status.m_held.m_term},
+                     {"held_position", status.m_held.m_position}});
+    }
+
+    logging::logger m_logger{"standin"};
     base::system_clock m_clock;
     std::atomic<std::uint64_t> m_last_connection = 0;
     std::atomic<std::uint64_t> m_last_monitor = 0;
@@ -587,7 +629,8 @@
     bool m_frozen = false;
     absl::Duration m_answer_delay;
     standin::fault_filter m_filter;
-    standin::endpoint_model m_model;
+    std::optional<state_file> m_state;
+    std::unique_ptr<standin::endpoint_model> m_model;
     std::map<base::connection_generation, connection_peer> m_connections;
     std::map<std::uint64_t, monitor_peer> m_monitors;
     std::uint64_t m_last_ticket = 0;
@@ -688,8 +731,10 @@
 class endpoint_server::implementation
 {
 public:
-    explicit implementation(endpoint_server_options options)
-        : m_core(std::move(options)), m_service(m_core), m_control(m_core)
+    implementation(const endpoint_server_options& options,
+                   std::optional<state_file> state)
+        : m_core(options, std::move(state)), m_service(m_core),
+          m_control(m_core)
     {
     }
     ~implementation()
@@ -712,17 +757,19 @@
         builder.RegisterService(&m_service);
         builder.RegisterService(&m_control);
         m_server = builder.BuildAndStart();
+        m_host = address.substr(0, address.rfind(':'));
         return m_server != nullptr && m_port != 0;
     }
-    [[nodiscard]] int port() const
+    [[nodiscard]] std::string address() const
     {
-        return m_port;
+        return absl::StrCat(m_host, ":", m_port);
     }
 
 private:
     endpoint_core m_core;
     endpoint_service m_service;
     control_service m_control;
+    std::string m_host;
     int m_port = 0;
     std::unique_ptr<grpc::Server> m_server;
 };
@@ -730,8 +777,16 @@
 base::result<std::unique_ptr<endpoint_server>>
 endpoint_server::start(endpoint_server_options options)
 {
+    std::optional<state_file> state;
+    if (!options.m_state_file.empty())
+    {
+        auto opened = state_file::open(options.m_state_file);
+        if (!opened)
+            return tl::make_unexpected(opened.error());
+        state.emplace(*std::move(opened));
+    }
     const std::string address = options.m_address;
-    auto inner = std::make_unique<implementation>(std::move(options));
+    auto inner = std::make_unique<implementation>(options, std::move(state));
     if (!inner->listen(address))
         return base::fail(
             base::error_code::unavailable,
@@ -747,9 +802,9 @@
 
 endpoint_server::~endpoint_server() = default;
 
-int endpoint_server::port() const
+std::string endpoint_server::address() const
 {
-    return m_inner->port();
+    return m_inner->address();
 }
 
 } // namespace magnoliastack::standin_server
--- a/lib/standin_server/platform_server.cpp
+++ b/lib/standin_server/platform_server.cpp
@@ -4,6 +4,7 @@
 #include "reactors.hpp"
 #include "work_loop.hpp"
 
+#include "magnoliastack/logging/logging.hpp"
 #include "magnoliastack/v1/platform.grpc.pb.h"
 
 #include "absl/strings/str_cat.h"
@@ -203,6 +204,8 @@
 void apply(const v1::PlatformFaults& faults, standin::platform_model& model,
            base::instant now)
 {
+    logging::logger("standin").info("faults",
+                                    {{"set", faults.ShortDebugString()}});
     if (faults.has_outage())
         model.set_outage(faults.outage());
     if (faults.has_delay_ms())
@@ -293,17 +296,19 @@
         builder.RegisterService(&m_service);
         builder.RegisterService(&m_control);
         m_server = builder.BuildAndStart();
+        m_host = address.substr(0, address.rfind(':'));
         return m_server != nullptr && m_port != 0;
     }
-    [[nodiscard]] int port() const
+    [[nodiscard]] std::string address() const
     {
-        return m_port;
+        return absl::StrCat(m_host, ":", m_port);
     }
 
 private:
     platform_core m_core;
     platform_service m_service;
     control_service m_control;
+    std::string m_host;
     int m_port = 0;
     std::unique_ptr<grpc::Server> m_server;
 };
@@ -327,9 +332,9 @@
 
 platform_server::~platform_server() = default;
 
-int platform_server::port() const
+std::string platform_server::address() const
 {
-    return m_inner->port();
+    return m_inner->address();
 }
 
 } // namespace magnoliastack::standin_server
