Stop the loop before the pulls when an endpoint server ends

Under the address sanitizer the replication test over loopback failed each time: the last callback of a cancelled pull posted to the work loop after the loop was destroyed. The loop's thread now ends first, then the pulls are cancelled and awaited, and the loop's queue is destroyed last. Moving the loop alone was ruled out: its thread would still start pulls while they are awaited.

--- a/lib/standin_server/endpoint_server.cpp
+++ b/lib/standin_server/endpoint_server.cpp
@@ -58,20 +58,19 @@
                 address, grpc::InsecureChannelCredentials(), arguments));
     }
 
-    // Cancels what is under way and waits for its callbacks.
-    ~pull_client()
+    // Cancels what is under way and waits for its callbacks. No pull may be
+    // started any more.
+    void stop()
     {
-        std::unique_lock lock(m_mutex);
-        for (const auto& item : m_under_way)
+        std::unique_lock lock(m_calls->m_mutex);
+        for (const auto& item : m_calls->m_under_way)
             item->m_context.TryCancel();
-        m_changed.wait(lock,
-                       [this]
-                       {
-                           return m_under_way.empty();
-                       });
+        m_calls->m_changed.wait(lock,
+                                [this]
+                                {
+                                    return m_calls->m_under_way.empty();
+                                });
     }
-    pull_client(const pull_client&) = delete;
-    pull_client& operator=(const pull_client&) = delete;
 
     // False when the member's address is not known.
     bool pull(const base::endpoint_id& member,
@@ -85,21 +84,22 @@
         item->m_context.set_deadline(std::chrono::system_clock::now() +
                                      absl::ToChronoNanoseconds(pull_timeout));
         {
-            const std::lock_guard lock(m_mutex);
-            m_under_way.insert(item);
+            const std::lock_guard lock(m_calls->m_mutex);
+            m_calls->m_under_way.insert(item);
         }
         found->second->async()->Pull(
             &item->m_context, &item->m_request, &item->m_response,
-            [this, item, done = std::move(done)](const grpc::Status& status)
+            [calls = m_calls, item,
+             done = std::move(done)](const grpc::Status& status)
             {
                 if (status.ok())
                     done(to_answer(item->m_response));
                 else
                     done(base::fail(base::error_code::unavailable,
                                     status.error_message()));
-                const std::lock_guard lock(m_mutex);
-                m_under_way.erase(item);
-                m_changed.notify_all();
+                const std::lock_guard lock(calls->m_mutex);
+                calls->m_under_way.erase(item);
+                calls->m_changed.notify_all();
             });
         return true;
     }
@@ -112,10 +112,17 @@
         v1::PullResponse m_response;
     };
 
+    // Outlives the client until the last callback has let go of the mutex.
+    struct calls_under_way
+    {
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::set<std::shared_ptr<call>> m_under_way;
+    };
+
     std::map<base::endpoint_id, std::unique_ptr<v1::Endpoint::Stub>> m_stubs;
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::set<std::shared_ptr<call>> m_under_way;
+    std::shared_ptr<calls_under_way> m_calls =
+        std::make_shared<calls_under_way>();
 };
 
 // Connects the model to gRPC. All state belongs to the loop's thread; the
@@ -134,6 +141,16 @@
     {
     }
 
+    ~endpoint_core()
+    {
+        // Callbacks of pulls post to the loop, and the loop sends pulls: the
+        // loop's thread ends first, its queue goes last.
+        m_loop.stop();
+        m_pulls.stop();
+    }
+    endpoint_core(const endpoint_core&) = delete;
+    endpoint_core& operator=(const endpoint_core&) = delete;
+
     void connect(const std::shared_ptr<connect_stream>& stream,
                  const std::string& host)
     {
@@ -642,7 +659,7 @@
         m_pushed;
     base::instant m_last_push;
     pull_client m_pulls;
-    // Destroyed first, so that no work runs on destroyed state.
+    // Last, because its thread uses all of the above from the start.
     work_loop m_loop;
 };
 
