--- a/include/magnoliastack/pool/endpoint_pool.hpp
+++ b/include/magnoliastack/pool/endpoint_pool.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -44,6 +45,9 @@
     absl::Duration m_close_after = absl::Milliseconds(750);
     // Time between pings of a connection that runs no call.
     absl::Duration m_idle_ping = absl::Seconds(1);
+    // Time for one call's answer. Beyond it the answer counts as lost, even on
+    // a connection that answers pings.
+    absl::Duration m_call_timeout = absl::Seconds(1);
     absl::Duration m_open_timeout = absl::Seconds(2);
     // Between two ticks further apart than this the host itself stood still,
     // so the silence says nothing about the endpoint.
@@ -63,11 +67,13 @@
 enum class close_reason
 {
     silent,
+    // The call has no answer although the connection is alive.
+    call_timeout,
     open_timeout,
     over_allowance,
     surplus,
-    // An answer for a call that was never sent on it: its own answer may have
-    // gone to another call.
+    // An answer for no call that is out on it: its own answer may have gone to
+    // another call.
     crossed_answer,
     // The owner asked for it.
     discarded,
@@ -98,9 +104,9 @@
     deliver,
     // Answers a ping; nothing to deliver.
     ping,
-    // Of an earlier call or a closed connection: discard.
+    // Of a closed connection: discard.
     late,
-    // Of a call that was never sent: discard; the connection gets closed.
+    // Of no call that is out: discard; the connection gets closed.
     crossed,
 };
 
@@ -109,6 +115,7 @@
 {
     std::uint64_t m_opened = 0;
     std::uint64_t m_closed_silent = 0;
+    std::uint64_t m_call_timeouts = 0;
     std::uint64_t m_refused_by_limit = 0;
     std::uint64_t m_open_failed = 0;
     std::uint64_t m_lost = 0;
@@ -199,7 +206,10 @@
         bool m_taken = false;
         base::call_id m_last_call;
         std::optional<base::call_id> m_call;
+        base::instant m_call_sent_at;
         std::optional<base::call_id> m_ping;
+        // Pings before that which are not answered yet.
+        std::set<base::call_id> m_earlier_pings;
         // Start of the present silence.
         base::instant m_heard;
     };
--- a/lib/pool/endpoint_pool.cpp
+++ b/lib/pool/endpoint_pool.cpp
@@ -118,6 +118,7 @@
     MAGNOLIASTACK_INVARIANT(!item->m_call, "a connection runs one call");
     item->m_last_call = std::max(item->m_last_call, call);
     item->m_call = call;
+    item->m_call_sent_at = now;
     // A ping that is already out keeps its own start of silence.
     if (!item->m_ping)
         item->m_heard = now;
@@ -133,9 +134,10 @@
         ++m_counters.m_late_answers;
         return part_verdict::late;
     }
-    if (item->m_ping == call)
+    if (item->m_ping == call || item->m_earlier_pings.erase(call) > 0)
     {
-        item->m_ping.reset();
+        if (item->m_ping == call)
+            item->m_ping.reset();
         heard(*item, now);
         return part_verdict::ping;
     }
@@ -148,11 +150,9 @@
             item->m_call.reset();
         return part_verdict::deliver;
     }
-    if (call <= item->m_last_call && call.value() != 0)
-    {
-        ++m_counters.m_late_answers;
-        return part_verdict::late;
-    }
+    // A call that is given up takes its connection with it, so an answer to
+    // neither the present call nor a ping is not a late one: answers on this
+    // connection carry wrong ids, and the next could match by chance.
     ++m_counters.m_crossed_answers;
     begin_close(generation, *item, close_reason::crossed_answer);
     return part_verdict::crossed;
@@ -183,7 +183,10 @@
     for (auto& [generation, item] : m_connections)
     {
         if (stood_still)
+        {
             item.m_heard = now;
+            item.m_call_sent_at = now;
+        }
         check_silence(generation, item, now);
     }
     close_surplus();
@@ -271,6 +274,11 @@
                                   connection& item, base::instant now)
 {
     const absl::Duration silence = now - item.m_heard;
+    if (item.m_call && now - item.m_call_sent_at >= m_options.m_call_timeout)
+    {
+        ++m_counters.m_call_timeouts;
+        return begin_close(generation, item, close_reason::call_timeout);
+    }
     switch (item.m_state)
     {
     case connection_state::closed:
@@ -312,6 +320,8 @@
     // A ping queued behind a running call is still to be answered.
     if (item.m_ping)
         return;
+    if (item.m_ping)
+        item.m_earlier_pings.insert(*item.m_ping);
     item.m_ping = next_call(generation);
     ++m_counters.m_pings;
     m_actions.emplace_back(send_ping{generation, *item.m_ping});
--- a/lib/proxy/control_plane.cpp
+++ b/lib/proxy/control_plane.cpp
@@ -13,6 +13,11 @@
 const absl::Duration peer_timeout = absl::Milliseconds(400);
 const absl::Duration list_interval = absl::Seconds(1);
 
+// How long a planned stop waits for loans to end, so that its slots can be
+// handed back. A slot that is not handed back is claimed by another host only
+// after connection_share_bound.
+const absl::Duration release_limit = absl::Seconds(40);
+
 // A dead host's connections return to the others after this long. It has to
 // outlast a partition of minutes, during which the cut-off failure domain
 // keeps its connections for open routes; a planned stop hands them over at
@@ -226,6 +231,7 @@
     if (!parsed.has_value())
         return;
     const std::unique_ptr<active_fleet> old = std::move(m_fleet);
+    m_judge.roster_seen(active->m_content.m_roster, now);
     m_fleet = std::make_unique<active_fleet>(
         active->m_change, *std::move(parsed), active->m_content);
     const absl::Duration bound = m_fleet->m_inventory.m_configuration_bound;
@@ -445,10 +451,11 @@
                                  std::string change_id, std::string author,
                                  std::function<void(change_result)> done)
 {
+    const base::instant now = m_shared.m_clock.now();
+    content.m_roster = m_judge.roster(now);
     m_changes.push_back(std::make_shared<running_change>(running_change{
         configuration::change(based_on, std::move(content),
-                              std::move(change_id), std::move(author),
-                              m_shared.m_clock.now()),
+                              std::move(change_id), std::move(author), now),
         std::move(done)}));
 }
 
@@ -595,13 +602,18 @@
 
 void control_plane::release_shares(base::instant now)
 {
-    if (m_slots)
-        m_slots->release(now);
+    if (std::exchange(m_released, true) || !m_slots)
+        return;
+    m_release_deadline = now + release_limit;
+    m_slots->release(now);
 }
 
-bool control_plane::has_left() const
+bool control_plane::has_left(base::instant now) const
 {
-    return !m_slots || m_slots->is_released() || !m_keeper.is_store_reachable();
+    if (!m_slots || m_slots->is_released())
+        return true;
+    return m_released &&
+           (!m_keeper.is_store_reachable() || now >= m_release_deadline);
 }
 
 void control_plane::announce_gone()
