Cover abandoned seals, lost followers and staleness bounds in the tests

Mutated sources, on a scratch copy, showed tests that could not fail: a replica of an older term was only refused because its freshness had no proof, no test read beyond the bound of a route, the longer log was also the first one, and no random run left an abandoned seal. The tests now fail for each of these. In the chaos runs promoters also die between their seals and primaries lose only their replicas; at the end every endpoint must follow the last term.

Removing the session's term check survives the random runs: a committed point of an older term with a sufficient position has all of the session's entries, so there it is a second line of defence.

--- a/unittests/consistency/consistency_test.cpp
+++ b/unittests/consistency/consistency_test.cpp
@@ -21,6 +21,7 @@
 {
     std::vector<absl::Duration> m_gaps;
     absl::Duration m_oldest_last_write;
+    int m_endpoints_behind = 0;
     int m_failed = 0;
     std::uint64_t m_first_failed = 0;
 };
@@ -41,6 +42,7 @@
         result.m_gaps.push_back(report.m_longest_write_gap);
         result.m_oldest_last_write =
             std::max(result.m_oldest_last_write, report.m_last_write_age);
+        result.m_endpoints_behind += report.m_endpoints_behind;
         sum.m_promotions += report.m_promotions;
         sum.m_writes_acknowledged += report.m_writes_acknowledged;
         sum.m_reads_delivered += report.m_reads_delivered;
@@ -137,10 +139,11 @@
 Test(failover, combined_faults_break_an_invariant_or_stop_the_group)
 {
     const summary result = expect_consistent({.m_seed = 6001,
-                                              .m_length = absl::Seconds(22),
+                                              .m_length = absl::Seconds(24),
                                               .m_faults_for = absl::Seconds(6)},
                                              200);
     cr_assert(result.m_oldest_last_write < absl::Seconds(1));
+    cr_assert_eq(result.m_endpoints_behind, 0);
 }
 
 // Guards against primaries that lose their group before their first entry is
@@ -160,7 +163,7 @@
     cr_assert(run_seeds({.m_seed = 1001,
                          .m_scenario = scenario::primary_isolated,
                          .m_unsafe_ignore_term = true},
-                        20)
+                        60)
                   .m_failed > 0);
 }
 
@@ -192,6 +195,6 @@
                          .m_scenario = scenario::interrupted_terms,
                          .m_length = absl::Seconds(20),
                          .m_unsafe_ignore_term_start = true},
-                        30)
+                        60)
                   .m_failed > 0);
 }
--- a/unittests/consistency/group_simulation.cpp
+++ b/unittests/consistency/group_simulation.cpp
@@ -106,6 +106,11 @@
     m_report.m_longest_write_gap =
         std::max(m_report.m_longest_write_gap, end - last);
     m_report.m_last_write_age = end - last;
+    for (const endpoint& member : m_endpoints)
+    {
+        if (member.m_accepted != m_primaries.rbegin()->first)
+            ++m_report.m_endpoints_behind;
+    }
     m_report.m_writes_acknowledged = static_cast<int>(m_acknowledged.size());
     return m_report;
 }
@@ -289,7 +294,7 @@
 
 void simulation::cause_random_fault(int any, int other, int any_host)
 {
-    switch (uniform(0, 9))
+    switch (uniform(0, 10))
     {
     case 0:
         m_cut.insert({any, other});
@@ -319,6 +324,14 @@
         m_loss_permille = uniform(0, 150);
         delay_link();
         return;
+    case 8:
+        // Hosts still reach the primary; its replicas do not.
+        for (int index = 0; index < endpoint_count(); ++index)
+        {
+            if (index != current_primary())
+                m_cut.insert({current_primary(), index});
+        }
+        return;
     default:
         heal();
         return;
@@ -590,7 +603,18 @@
 {
     for (const failover::action& item : actions)
     {
-        if (const auto* sealing = std::get_if<failover::send_seal>(&item))
+        const auto* sealing = std::get_if<failover::send_seal>(&item);
+        if (sealing != nullptr && m_options.m_scenario == scenario::chaos &&
+            uniform(0, 9) == 0)
+        {
+            // A promoter that dies between its seals.
+            const int node = host_node(index);
+            crash(node);
+            after(absl::Seconds(1),
+                  std::bind(&simulation::restart, this, node));
+            return;
+        }
+        if (sealing != nullptr)
             call_seal(index, index_of(sealing->m_endpoint), sealing->m_term);
         else if (const auto* choice =
                      std::get_if<failover::send_promote>(&item))
--- a/unittests/consistency/group_simulation.hpp
+++ b/unittests/consistency/group_simulation.hpp
@@ -58,6 +58,8 @@
     std::string m_violation;
     absl::Duration m_longest_write_gap;
     absl::Duration m_last_write_age;
+    // Endpoints that do not follow the last term at the end.
+    int m_endpoints_behind = 0;
     int m_promotions = 0;
     int m_writes_acknowledged = 0;
     int m_reads_delivered = 0;
--- a/unittests/failover/controller_test.cpp
+++ b/unittests/failover/controller_test.cpp
@@ -211,10 +211,10 @@
 {
     failover_fixture fleet;
     fleet.start_attempt();
-    fleet.answer_seal(2, 2, 8);
-    cr_assert_neq(fleet.m_controller.state(), "promoting");
-    fleet.answer_seal(1, 2, 9);
-    cr_assert(fleet.promotes(1, 2));
+    fleet.answer_seal(1, 2, 8);
+    cr_assert_eq(fleet.m_controller.state(), "sealing");
+    fleet.answer_seal(2, 2, 9);
+    cr_assert(fleet.promotes(2, 2));
 
     failover_fixture tied;
     tied.start_attempt();
--- a/unittests/routing/read_routing_test.cpp
+++ b/unittests/routing/read_routing_test.cpp
@@ -95,11 +95,29 @@
 Test(choose_read, a_replica_of_an_older_term_is_used)
 {
     view_fixture group;
-    group.round(
-        {status_at(0, 2, 9, 8), status_at(1, 1, 50), status_at(2, 2, 9, 8)});
-    cr_assert(uses(choose(group, needs(group, point(1, 5))), 2));
-    group.m_view.monitor_lost(endpoint(2), group.m_now);
+    group.round({status_at(0, 1, 9), status_at(1, 1, 50), status_at(2, 1, 9)});
+    cr_assert(uses(choose(group, needs(group, point(1, 5))), 1));
+    group.round({status_at(0, 2, 9, 8)});
     cr_assert(uses(choose(group, needs(group, point(1, 5))), 0));
+    group.round({status_at(0, 2, 9, 8), status_at(2, 2, 9, 8)});
+    cr_assert(uses(choose(group, needs(group, point(1, 5))), 2));
+}
+
+// Guards against a replica whose data is older than the route's bound.
+Test(choose_read, a_replica_beyond_the_staleness_bound_is_used)
+{
+    view_fixture group;
+    group.round({status_at(0, 1, 8), status_at(1, 1, 8), status_at(2, 1, 8)});
+    group.rounds(5, {status_at(0, 1, 9), status_at(1, 1, 9)});
+    group.receive(status_at(1, 1, 8));
+    const auto choice = [&](int milliseconds)
+    {
+        return choose(
+            group, needs(group, point(1, 8), absl::Milliseconds(milliseconds)));
+    };
+    cr_assert(uses(choice(299), 0));
+    cr_assert(uses(choice(300), 1));
+    cr_assert(uses(choice(0), 0));
 }
 
 // Guards against stale reads in a minority, and against refusing those that are
