Aim the fleet's faults at the moments that decide

Changed: half of the pauses start right after a host has sent a borrow request; two hosts can lose only each other; in 40 % of the runs the store goes down after a takeover; hosts of one cut may differ in whether they reach the store.

--- a/unittests/share/fleet.cpp
+++ b/unittests/share/fleet.cpp
@@ -13,7 +13,6 @@
 
 constexpr const char* organisation = "org/a";
 constexpr const char* endpoint = "endpoint/e";
-constexpr std::size_t no_host = std::numeric_limits<std::size_t>::max();
 // Hosts that have not taken a new rate stop after the currency bound.
 constexpr double change_window = 6;
 
@@ -131,7 +130,9 @@
 
 void fleet::send(std::size_t from, std::size_t to, std::function<void()> run)
 {
-    if (m_hosts[from].m_part != m_hosts[to].m_part || chance(m_loss))
+    if (m_hosts[from].m_part != m_hosts[to].m_part ||
+        m_hosts[from].m_unreachable == to ||
+        m_hosts[to].m_unreachable == from || chance(m_loss))
         return;
     // A few messages are late, up to the length of a loan.
     const double delay = m_options.m_faults && chance(0.03)
@@ -269,32 +270,40 @@
             });
 }
 
+void fleet::call(std::size_t from, std::size_t to,
+                 std::function<std::function<void()>()> serve)
+{
+    const std::uint64_t incarnation = m_hosts[from].m_incarnation;
+    send(from, to,
+         [this, from, to, incarnation, serve = std::move(serve)]
+         {
+             auto answer = serve();
+             if (m_hosts[from].m_incarnation == incarnation)
+                 send(to, from, std::move(answer));
+         });
+}
+
 void fleet::exchange(std::size_t index)
 {
     host& item = m_hosts[index];
     const base::instant sent_at = local(item);
-    const std::uint64_t incarnation = item.m_incarnation;
     for (std::size_t other = 0; other < m_hosts.size(); ++other)
     {
         if (other == index)
             continue;
-        send(index, other,
-             [this, index, other, sent_at, incarnation]
+        call(index, other,
+             [this, index, other, sent_at]() -> std::function<void()>
              {
                  m_hosts[other].m_heard[index] = m_now;
                  const std::uint64_t version =
                      m_hosts[other].m_process->m_keeper.row_version();
-                 if (m_hosts[index].m_incarnation != incarnation)
-                     return;
-                 send(other, index,
-                      [this, index, other, sent_at, version]
-                      {
-                          host& self = m_hosts[index];
-                          self.m_heard[other] = m_now;
-                          self.m_process->m_keeper.peer_version_seen(
-                              m_hosts[other].m_id, version, sent_at,
-                              local(self));
-                      });
+                 return [this, index, other, sent_at, version]
+                 {
+                     host& self = m_hosts[index];
+                     self.m_heard[other] = m_now;
+                     self.m_process->m_keeper.peer_version_seen(
+                         m_hosts[other].m_id, version, sent_at, local(self));
+                 };
              });
     }
     std::vector<rpc::member_entry> members;
@@ -392,7 +401,7 @@
 void fleet::check_sums(std::size_t index)
 {
     host& item = m_hosts[index];
-    if (!item.m_up)
+    if (!item.m_up || m_now < item.m_paused_until)
         return;
     const base::instant now = local(item);
     const share::ledger& ledger = item.m_process->m_ledger;
@@ -483,64 +492,66 @@
                               const share::ledger_action& action)
 {
     const base::instant sent_at = local(m_hosts[index]);
-    const auto find = [this](const base::host_id& id)
-    {
-        return static_cast<std::size_t>(std::find_if(m_hosts.begin(),
-                                                     m_hosts.end(),
-                                                     [&](const host& item)
-                                                     {
-                                                         return item.m_id == id;
-                                                     }) -
-                                        m_hosts.begin());
-    };
-    const std::uint64_t incarnation = m_hosts[index].m_incarnation;
     if (const auto* ask = std::get_if<share::borrow>(&action))
     {
-        const std::size_t lender = find(ask->m_host);
-        send(index, lender,
-             [this, index, lender, incarnation, sent_at,
-              request = ask->m_request]
+        const std::size_t lender = index_of(ask->m_host);
+        call(index, lender,
+             [this, index, lender, sent_at,
+              request = ask->m_request]() -> std::function<void()>
              {
                  host& item = m_hosts[lender];
                  const auto response = item.m_process->m_ledger.borrow_received(
                      request, local(item));
                  apply(lender);
                  m_report.m_loans += response.m_amount > 0 ? 1 : 0;
-                 if (m_hosts[index].m_incarnation != incarnation)
-                     return;
-                 send(lender, index,
-                      [this, index, lender, sent_at, request, response]
-                      {
-                          host& self = m_hosts[index];
-                          self.m_process->m_ledger.borrow_answered(
-                              m_hosts[lender].m_id, request, response, sent_at,
-                              local(self));
-                          admit(index);
-                      });
+                 return [this, index, lender, sent_at, request, response]
+                 {
+                     host& self = m_hosts[index];
+                     self.m_process->m_ledger.borrow_answered(
+                         m_hosts[lender].m_id, request, response, sent_at,
+                         local(self));
+                     admit(index);
+                 };
              });
+        // The worst moment for a pause: the answer waits for the wake-up.
+        if (std::exchange(m_hosts[index].m_pause_at_request, false))
+            pause(index);
     }
     else if (const auto* back = std::get_if<share::return_loan>(&action))
     {
-        const std::size_t lender = find(back->m_host);
-        send(index, lender,
-             [this, index, lender, incarnation, message = back->m_message]
+        const std::size_t lender = index_of(back->m_host);
+        call(index, lender,
+             [this, index, lender,
+              message = back->m_message]() -> std::function<void()>
              {
                  host& item = m_hosts[lender];
                  item.m_process->m_ledger.give_back_received(message,
                                                              local(item));
-                 if (m_hosts[index].m_incarnation == incarnation)
-                     send(lender, index,
-                          [this, index, lender, message]
-                          {
-                              host& self = m_hosts[index];
-                              self.m_process->m_ledger.give_back_answered(
-                                  m_hosts[lender].m_id, message, true,
-                                  local(self));
-                          });
+                 return [this, index, lender, message]
+                 {
+                     host& self = m_hosts[index];
+                     self.m_process->m_ledger.give_back_answered(
+                         m_hosts[lender].m_id, message, true, local(self));
+                 };
              });
     }
 }
 
+std::size_t fleet::index_of(const base::host_id& id)
+{
+    return std::stoul(id.str().substr(4));
+}
+
+void fleet::pause(std::size_t index)
+{
+    host& item = m_hosts[index];
+    // A paused process admits nothing and keeps its connections.
+    item.m_counted_fraction = 0;
+    item.m_counted_units = item.m_open;
+    item.m_paused_until =
+        m_now + (chance(0.5) ? uniform(0.3, 4) : uniform(4, 20));
+}
+
 void fleet::count_takeovers(const std::string& value)
 {
     const auto before = share::parse_slot_table(m_row.m_value);
@@ -548,22 +559,35 @@
     for (std::size_t slot = 0; slot < before->m_slots.size(); ++slot)
         if (table->m_slots[slot].m_unsettled &&
             table->m_slots[slot].m_epoch != before->m_slots[slot].m_epoch)
+        {
             ++m_report.m_takeovers;
+            if (m_outage_after_claim && !m_store_down)
+                store_outage(uniform(8, 15));
+        }
+}
+
+void fleet::store_outage(double length)
+{
+    m_store_down = true;
+    after(length,
+          [this]
+          {
+              m_store_down = false;
+          });
 }
 
 void fleet::inject_fault()
 {
     const std::size_t index = m_random() % m_hosts.size();
     host& item = m_hosts[index];
-    switch (m_random() % 8)
+    switch (m_random() % 9)
     {
     case 0:
     case 1:
-        // A paused process admits nothing and keeps its connections.
-        item.m_counted_fraction = 0;
-        item.m_counted_units = item.m_open;
-        item.m_paused_until =
-            m_now + (chance(0.5) ? uniform(0.3, 4) : uniform(4, 20));
+        if (chance(0.5))
+            pause(index);
+        else
+            item.m_pause_at_request = true;
         break;
     case 2:
         if (item.m_up)
@@ -588,7 +612,7 @@
         {
             host& cut = m_hosts[(index + step) % m_hosts.size()];
             cut.m_part = 1;
-            cut.m_store_cut = with_store;
+            cut.m_store_cut = with_store && chance(0.8);
         }
         after(uniform(0.5, 15),
               [this]
@@ -614,6 +638,15 @@
                   m_loss = 0;
               });
         break;
+    case 7:
+        // Two hosts that reach the others but not each other.
+        item.m_unreachable = (index + 1 + m_random() % 8) % m_hosts.size();
+        after(uniform(4, 20),
+              [this, index]
+              {
+                  m_hosts[index].m_unreachable = no_host;
+              });
+        break;
     default:
         if (m_now - m_rate_changed < change_window)
             break;
@@ -644,6 +677,7 @@
     m_greedy = std::array{0.2, 0.5, 1.0}[m_random() % 3];
     m_options.m_burst = std::array{40.0, 400.0, 2000.0}[m_random() % 3];
     m_excess = -m_options.m_burst;
+    m_outage_after_claim = chance(0.4);
     // Clocks run up to 1 percent fast or slow against true time; where all
     // are fast, none makes up for another.
     if (chance(0.5))
--- a/unittests/share/fleet.hpp
+++ b/unittests/share/fleet.hpp
@@ -70,6 +70,9 @@
     fleet_report run();
 
 private:
+    static constexpr std::size_t no_host =
+        std::numeric_limits<std::size_t>::max();
+
     // A process of a host; replaced when it restarts.
     struct process
     {
@@ -100,6 +103,9 @@
         // Part of the network that the host is in.
         int m_part = 0;
         bool m_store_cut = false;
+        // The one host that this one does not reach.
+        std::size_t m_unreachable = no_host;
+        bool m_pause_at_request = false;
     };
     struct event
     {
@@ -123,6 +129,12 @@
     void after(double delay, std::function<void()> run);
     void at_host(std::size_t index, double delay, std::function<void()> run);
     void send(std::size_t from, std::size_t to, std::function<void()> run);
+    // Runs `serve` at `to` and what it returns, the answer, at `from`.
+    void call(std::size_t from, std::size_t to,
+              std::function<std::function<void()>()> serve);
+    static std::size_t index_of(const base::host_id& id);
+    void pause(std::size_t index);
+    void store_outage(double length);
     void start(std::size_t index);
     void stop(std::size_t index);
     void tick(std::size_t index);
@@ -156,6 +168,7 @@
     // Mean time between faults, and the part of hosts that are greedy.
     double m_fault_gap = 1;
     double m_greedy = 0.4;
+    bool m_outage_after_claim = false;
     double m_rate_now;
     double m_rate_before;
     double m_rate_changed = -100;
