--- a/include/magnoliastack/load/measures.hpp
+++ b/include/magnoliastack/load/measures.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,12 +106,21 @@
     std::uint64_t m_seed = 0;
     absl::Duration m_duration;
     std::uint64_t m_unresolved = 0;
+    // Organisations that sent more than their rate on purpose; the worst of the
+    // others is reported.
+    std::set<std::string> m_overloaded;
     bool m_final_state_checked = false;
     const measures* m_measures = nullptr;
     const violations* m_violations = nullptr;
 };
 
 std::string to_table(const report& what);
+
+// The columns of to_markdown_row, with the line below them.
+std::string markdown_header();
+
+// One line of a Markdown table.
+std::string to_markdown_row(const report& what, const std::string& label);
 std::string to_json(const report& what);
 
 } // namespace magnoliastack::load
--- a/lib/load/measures.cpp
+++ b/lib/load/measures.cpp
@@ -187,6 +187,50 @@
     return out;
 }
 
+std::string markdown_header()
+{
+    return "| run | reads by replicas | longest write gap, ms | lowest success "
+           "| highest p99, ms | refused within rate | of them by the rate | "
+           "read p50, ms | unresolved | violations |\n"
+           "|---|---|---|---|---|---|---|---|---|---|\n";
+}
+
+std::string to_markdown_row(const report& what, const std::string& label)
+{
+    absl::Duration gap;
+    for (const auto& [group, longest] : what.m_measures->write_gaps())
+        gap = std::max(gap, longest);
+    service_level lowest;
+    service_level slowest;
+    std::uint64_t requests = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t wrongful = 0;
+    for (const service_level& level : what.m_measures->service_levels())
+    {
+        if (what.m_overloaded.contains(level.m_name))
+            continue;
+        requests += level.m_requests;
+        refused += level.m_refused_within_rate;
+        wrongful += level.m_wrongful;
+        if (lowest.m_name.empty() || level.success() < lowest.success())
+            lowest = level;
+        if (slowest.m_name.empty() || level.m_p99 > slowest.m_p99)
+            slowest = level;
+    }
+    absl::Duration read;
+    for (const metrics::latency_summary& item :
+         what.m_measures->snapshot().m_latencies)
+        read = item.m_name == "read" ? item.m_p50 : read;
+    return absl::StrFormat(
+        "| %s, seed %d | %.2f %% | %.0f | %.2f %% (%s) | %.1f (%s) | %d of %d "
+        "| %d | %.2f | %d | %d |\n",
+        label, what.m_seed, 100 * what.m_measures->replica_share(),
+        milliseconds(gap), 100 * lowest.success(), lowest.m_name,
+        milliseconds(slowest.m_p99), slowest.m_name, refused, requests,
+        wrongful, milliseconds(read), what.m_unresolved,
+        what.m_violations->total());
+}
+
 std::string to_json(const report& what)
 {
     Struct all;
--- a/tools/magnolia-load/main.cpp
+++ b/tools/magnolia-load/main.cpp
@@ -37,6 +37,8 @@
     std::string m_inventory;
     std::string m_keys;
     std::string m_json;
+    std::string m_markdown;
+    std::string m_label;
     double m_seconds = 15;
     double m_deadline = 5;
     std::vector<std::string> m_overload;
@@ -152,6 +154,11 @@
     std::fputs(load::to_table(report).c_str(), stdout);
     if (!write_json(given.m_json, load::to_json(report)))
         return failed("cannot write " + given.m_json);
+    for (const auto& [organisation, factor] : given.m_run.m_overload)
+        report.m_overloaded.insert(organisation);
+    if (!given.m_markdown.empty())
+        std::ofstream(given.m_markdown, std::ios::app)
+            << load::to_markdown_row(report, given.m_label);
     if (driver.found().total() > 0)
         return exit_violation;
     return report.m_final_state_checked ? EXIT_SUCCESS : exit_failed;
@@ -269,6 +276,9 @@
 {
     add_common(command, given);
     add_inventory(command, given);
+    command.add_option("--markdown", given.m_markdown,
+                       "file to which a line of a Markdown table is added");
+    command.add_option("--label", given.m_label, "name of that line");
     command.add_option("--seconds", given.m_seconds, "length of the arrivals")
         ->capture_default_str();
     command.add_option("--rate", given.m_run.m_rate,
@@ -356,6 +366,8 @@
     CLI::App& primary_command =
         *app.add_subcommand("primary", "print each group's primary");
     add_inventory(primary_command, given);
+    CLI::App& header_command = *app.add_subcommand(
+        "markdown-header", "print the head of the table of run --markdown");
     try
     {
         app.parse(argc, argv);
@@ -374,6 +386,11 @@
         return set_faults(given);
     if (primary_command.parsed())
         return show_primary(given);
+    if (header_command.parsed())
+    {
+        std::fputs(load::markdown_header().c_str(), stdout);
+        return EXIT_SUCCESS;
+    }
     std::fputs(load::inventory_text(*given.m_run.m_profile, given.m_slots,
                                     given.m_first_port)
                    .c_str(),
