Forget the partial host lists of a starting fleet when judging acceptance

The judge remembers every set of listed hosts for 12 h; its first list can name one other host only, because the others have not announced themselves yet. If just that host falls silent, it counts as a majority of its own.

Change: sets of the first 2 s, the join delay in which no host serves, are forgotten.

Conclusion: a host that falls silent right after the fleet's start no longer holds up changes for hours.

--- a/include/magnoliastack/configuration/acceptance.hpp
+++ b/include/magnoliastack/configuration/acceptance.hpp
@@ -37,6 +37,8 @@
     base::host_id m_self;
     absl::Duration m_bound = absl::Seconds(5);
     absl::Duration m_list_retention = default_list_retention;
+    // As in keeper_options.
+    absl::Duration m_join_delay = absl::Seconds(2);
 };
 
 // What is waited beyond the bound. The judge's clock may run fast and the
@@ -171,6 +173,7 @@
     judge_options m_options;
     quorum_history m_quorum;
     std::optional<base::instant> m_list_sent_at;
+    std::optional<base::instant> m_first_list_at;
     bool m_roster_known = false;
     // The first instant at which the row was known to hold at least a version.
     absl::btree_map<base::configuration_version, base::instant> m_row_seen;
--- a/include/magnoliastack/configuration/quorum.hpp
+++ b/include/magnoliastack/configuration/quorum.hpp
@@ -53,6 +53,9 @@
     // to the set as if they had been listed that long ago.
     void roster_seen(const std::vector<roster_host>& roster, base::instant now);
 
+    // Keeps only the set in force.
+    void forget_past_sets();
+
     // The set in force for the next change's roster.
     [[nodiscard]] std::vector<roster_host> roster(base::instant now) const;
 
--- a/lib/configuration/acceptance.cpp
+++ b/lib/configuration/acceptance.cpp
@@ -42,6 +42,13 @@
 {
     m_quorum.hosts_listed(hosts, now);
     m_list_sent_at = sent_at;
+    if (!m_first_list_at)
+        m_first_list_at = now;
+    // The lists of a starting fleet lack hosts that have not announced
+    // themselves yet. No host serves within its join delay, so none has
+    // confirmed anything with such a set.
+    if (now - *m_first_list_at <= m_options.m_join_delay)
+        m_quorum.forget_past_sets();
 }
 
 void acceptance_judge::roster_seen(const std::vector<roster_host>& roster,
--- a/lib/configuration/quorum.cpp
+++ b/lib/configuration/quorum.cpp
@@ -74,6 +74,12 @@
                   });
 }
 
+void quorum_history::forget_past_sets()
+{
+    if (m_sets.size() > 1)
+        m_sets.erase(m_sets.begin(), m_sets.end() - 1);
+}
+
 std::vector<base::host_id> quorum_history::current(base::instant now) const
 {
     if (!m_last_list || now - *m_last_list > m_retention)
