Let injected promoter crashes end with the faults of a chaos run

A trace showed that the injected crash of promoters between two seals went on after the repair and killed the promoters of terms 5 to 12; the libraries behaved as specified.

--- a/unittests/consistency/group_simulation.cpp
+++ b/unittests/consistency/group_simulation.cpp
@@ -605,7 +605,7 @@
     {
         const auto* sealing = std::get_if<failover::send_seal>(&item);
         if (sealing != nullptr && m_options.m_scenario == scenario::chaos &&
-            uniform(0, 9) == 0)
+            m_now < m_faults_until && uniform(0, 9) == 0)
         {
             // A promoter that dies between its seals.
             const int node = host_node(index);
