--- a/lib/ctl/ctl.cpp
+++ b/lib/ctl/ctl.cpp
@@ -6,9 +6,10 @@
 #include "magnoliastack/cli/connection.hpp"
 #include "magnoliastack/cli/exit_code.hpp"
 
-#include <cstdlib>
 #include <functional>
+#include <pwd.h>
 #include <string>
+#include <unistd.h>
 
 namespace magnoliastack::ctl
 {
@@ -24,8 +25,8 @@
 
 std::string default_author()
 {
-    const char* user = std::getenv("USER");
-    return user == nullptr || *user == '\0' ? "unknown" : user;
+    const passwd* entry = getpwuid(geteuid());
+    return entry == nullptr ? "unknown" : entry->pw_name;
 }
 
 // The command line: options are parsed into members, the chosen command is
--- a/lib/query/caller.cpp
+++ b/lib/query/caller.cpp
@@ -113,6 +113,7 @@
         request.m_request_id;
 
     outcome result;
+    std::string endpoint;
     for (const auto& step : steps)
     {
         // A broken stream rolls the transaction back, unless the commit has
@@ -145,7 +146,11 @@
             result.m_end.reset();
             return result;
         }
+        // The answer to a commit need not name the endpoint again.
+        if (!result.m_end->endpoint().empty())
+            endpoint = result.m_end->endpoint();
     }
+    result.m_end->set_endpoint(endpoint);
     result.m_execution = v1::EXECUTION_DONE;
     stream->WritesDone();
     stream->Finish();
