--- a/lib/configuration/content.cpp
+++ b/lib/configuration/content.cpp
@@ -37,12 +37,13 @@
     message.set_hash(change.m_hash);
     message.set_change_id(change.m_change_id);
     message.set_author(change.m_author);
+    message.set_subject_hash(change.m_subject_hash);
 }
 
 change_record read(const stored::Change& message)
 {
     return {base::configuration_version(message.version()), message.hash(),
-            message.change_id(), message.author()};
+            message.change_id(), message.author(), message.subject_hash()};
 }
 
 } // namespace
@@ -61,6 +62,13 @@
     }
     for (const std::string& secret : value.m_token_secrets)
         message.add_token_secrets(secret);
+    for (const roster_host& host : value.m_roster)
+    {
+        stored::RosterHost& entry = *message.add_roster();
+        entry.set_id(host.m_host.str());
+        entry.set_unlisted_seconds(static_cast<std::uint64_t>(
+            absl::ToInt64Seconds(host.m_unlisted_for)));
+    }
     return to_bytes(message);
 }
 
@@ -82,6 +90,9 @@
                                 record.salt(), record.digest()});
     value.m_token_secrets.assign(message.token_secrets().begin(),
                                  message.token_secrets().end());
+    for (const stored::RosterHost& entry : message.roster())
+        value.m_roster.push_back({base::host_id(entry.id()),
+                                  absl::Seconds(entry.unlisted_seconds())});
     return value;
 }
 
--- a/lib/proxy/endpoint_runtime.cpp
+++ b/lib/proxy/endpoint_runtime.cpp
@@ -17,6 +17,8 @@
     {
     case pool::close_reason::silent:
         return "silent";
+    case pool::close_reason::call_timeout:
+        return "call_timeout";
     case pool::close_reason::open_timeout:
         return "open_timeout";
     case pool::close_reason::over_allowance:
@@ -31,6 +33,14 @@
     return "unknown";
 }
 
+bool answer_has_point(const rpc::call& what)
+{
+    return std::holds_alternative<rpc::execute_call>(what) ||
+           std::holds_alternative<rpc::statement_call>(what) ||
+           std::holds_alternative<rpc::commit_call>(what) ||
+           std::holds_alternative<rpc::probe_call>(what);
+}
+
 admission::fair_queue_options queue_options(std::size_t bound)
 {
     admission::fair_queue_options options;
@@ -38,15 +48,22 @@
     return options;
 }
 
+pool::pool_options pool_options(const endpoint_options& options)
+{
+    pool::pool_options result;
+    result.m_call_timeout = options.m_call_timeout;
+    return result;
+}
+
 } // namespace
 
 endpoint_runtime::endpoint_runtime(context& shared,
                                    inventory::endpoint description,
-                                   std::size_t queue_bound,
+                                   const endpoint_options& options,
                                    placement_check& check)
     : m_shared(shared), m_description(std::move(description)), m_check(check),
-      m_pool(m_description.m_id, pool::pool_options(), shared.m_generations),
-      m_queue(queue_options(queue_bound))
+      m_pool(m_description.m_id, pool_options(options), shared.m_generations),
+      m_queue(queue_options(options.m_queue_bound))
 {
 }
 
@@ -124,6 +141,7 @@
                             "a taken connection exists");
     holder.m_call = m_pool.next_call(connection);
     holder.m_in_call = true;
+    holder.m_has_point = answer_has_point(what);
     holder.m_sent_at = now;
     holder.m_rows.clear();
     ++m_calls_in_flight;
@@ -196,8 +214,13 @@
     if (!part.m_end.has_value())
         return;
     // A part that got lost would leave the answer short of rows; the count in
-    // the end mark shows it.
-    if (part.m_end->m_row_count != holder.m_rows.size())
+    // the end mark shows it. An answer without a point answers another kind of
+    // call, such as a ping.
+    const bool misses_point =
+        holder.m_has_point &&
+        part.m_end->m_outcome == rpc::call_outcome::done &&
+        part.m_end->m_point.m_term == base::term(0);
+    if (misses_point || part.m_end->m_row_count != holder.m_rows.size())
     {
         m_shared.m_metrics.counter("answers.incomplete").add(1);
         m_pool.discard(connection, now);
--- a/unittests/share/fleet.hpp
+++ b/unittests/share/fleet.hpp
@@ -50,6 +50,8 @@
     std::int64_t m_worst_fraction = std::numeric_limits<std::int64_t>::min();
     std::uint64_t m_admitted = 0;
     std::uint64_t m_refused = 0;
+    // What one bucket with all of the rate and burst would have refused.
+    std::uint64_t m_refused_by_one_bucket = 0;
     // Time of the last refusal, in seconds.
     double m_last_refusal = 0;
     std::uint64_t m_loans = 0;
@@ -68,6 +70,9 @@
     fleet_report run();
 
 private:
+    static constexpr std::size_t no_host =
+        std::numeric_limits<std::size_t>::max();
+
     // A process of a host; replaced when it restarts.
     struct process
     {
@@ -98,6 +103,9 @@
         // Part of the network that the host is in.
         int m_part = 0;
         bool m_store_cut = false;
+        // The one host that this one does not reach.
+        std::size_t m_unreachable = no_host;
+        bool m_pause_at_request = false;
     };
     struct event
     {
@@ -121,11 +129,18 @@
     void after(double delay, std::function<void()> run);
     void at_host(std::size_t index, double delay, std::function<void()> run);
     void send(std::size_t from, std::size_t to, std::function<void()> run);
+    // Runs `serve` at `to` and what it returns, the answer, at `from`.
+    void call(std::size_t from, std::size_t to,
+              std::function<std::function<void()>()> serve);
+    static std::size_t index_of(const base::host_id& id);
+    void pause(std::size_t index);
+    void store_outage(double length);
     void start(std::size_t index);
     void stop(std::size_t index);
     void tick(std::size_t index);
     void exchange(std::size_t index);
     void arrive(std::size_t index);
+    void compare_with_one_bucket();
     void admit(std::size_t index);
     void apply(std::size_t index);
     void check_sums(std::size_t index);
@@ -153,11 +168,15 @@
     // Mean time between faults, and the part of hosts that are greedy.
     double m_fault_gap = 1;
     double m_greedy = 0.4;
+    bool m_outage_after_claim = false;
     double m_rate_now;
     double m_rate_before;
     double m_rate_changed = -100;
     double m_excess;
     double m_excess_at = 0;
+    // Requests that one bucket is behind (below 0: its tokens).
+    double m_one_bucket = 0;
+    double m_one_bucket_at = 0;
     fleet_report m_report;
 };
 
