Test that the operations page lists every reason; drop an unused name

metrics::retry_counter took a refusal reason, but retries have reasons of their own in the request library, which the proxy counts.

--- a/include/magnoliastack/metrics/metrics.hpp
+++ b/include/magnoliastack/metrics/metrics.hpp
@@ -105,9 +105,6 @@
 // Name of the counter of a refusal: `refused.queue_full`.
 std::string refusal_counter(base::refusal_reason reason);
 
-// Name of the counter of a retry inside the proxy: `retried.connection_lost`.
-std::string retry_counter(base::refusal_reason reason);
-
 } // namespace magnoliastack::metrics
 
 #endif
--- a/lib/metrics/metrics.cpp
+++ b/lib/metrics/metrics.cpp
@@ -144,9 +144,4 @@
     return "refused." + std::string(base::to_string(reason));
 }
 
-std::string retry_counter(base::refusal_reason reason)
-{
-    return "retried." + std::string(base::to_string(reason));
-}
-
 } // namespace magnoliastack::metrics
--- a/unittests/metrics/metrics_test.cpp
+++ b/unittests/metrics/metrics_test.cpp
@@ -1,6 +1,10 @@
 #include "magnoliastack/metrics/metrics.hpp"
+#include "magnoliastack/request/retry.hpp"
 
 #include <cmath>
+#include <fstream>
+#include <iterator>
+#include <string>
 
 #include <criterion/criterion.h>
 
@@ -72,3 +76,29 @@
     cr_assert_eq(data.m_counters.at("refused.queue_full"), 3U);
     cr_assert_eq(data.m_latencies.size(), 1U);
 }
+
+// Guards against a reason that operators cannot look up.
+Test(operations_page, every_refusal_and_retry_reason_is_listed)
+{
+    namespace base = magnoliastack::base;
+    namespace request = magnoliastack::request;
+    std::ifstream in(MAGNOLIASTACK_OPERATIONS_PAGE);
+    const std::string page((std::istreambuf_iterator<char>(in)),
+                           std::istreambuf_iterator<char>());
+    const auto retries = page.find("## Retries inside a host");
+    cr_assert_neq(retries, std::string::npos);
+    for (int index = 0; index < base::refusal_reason_count; ++index)
+    {
+        const std::string name(
+            base::to_string(static_cast<base::refusal_reason>(index)));
+        cr_assert_lt(page.find("| `" + name + "` |"), retries, "%s",
+                     name.c_str());
+    }
+    for (int index = 0; index < request::retry_reason_count; ++index)
+    {
+        const std::string name(
+            request::to_string(static_cast<request::retry_reason>(index)));
+        cr_assert_neq(page.find("| `" + name + "` |", retries),
+                      std::string::npos, "%s", name.c_str());
+    }
+}
