Fix the crash of standin-endpoint on a refused connection

The open of a connection was posted to the loop before the stream had its handlers. A connection that its peer gave up while it was cut off was opened when the cut ended and counted against the limit for good, which made the refusals frequent.

The handlers are now set before the open is posted, the first read starts after it, and the open of an ended stream is skipped. Found by a backtrace of the terminate handler; faults without load do not show it. The unit tests of the stand-in do not cover the race.

--- a/lib/standin_server/endpoint_server.cpp
+++ b/lib/standin_server/endpoint_server.cpp
@@ -135,14 +135,7 @@
                  const std::string& host)
     {
         const base::connection_generation number = next_connection();
-        deliver(host,
-                [this, number, stream, host](base::instant now)
-                {
-                    m_connections[number] = {host, stream};
-                    m_filter.connection_opened(number);
-                    carry_out(m_model.connection_opened(number, now), now);
-                });
-        stream->start(
+        stream->set_handlers(
             [this, number, host](v1::CallRequest message)
             {
                 deliver(host,
@@ -161,6 +154,19 @@
                             connection_closed(number, now);
                         });
             });
+        // After the handlers, because a refusal ends the stream from the
+        // loop's thread; before the first read, so that no call overtakes it.
+        deliver(host,
+                [this, number, stream, host](base::instant now)
+                {
+                    // The peer may give up while it is cut off.
+                    if (stream->is_finished())
+                        return;
+                    m_connections[number] = {host, stream};
+                    m_filter.connection_opened(number);
+                    carry_out(m_model.connection_opened(number, now), now);
+                });
+        stream->start();
     }
 
     void monitor(const std::shared_ptr<monitor_stream>& stream,
@@ -172,7 +178,7 @@
             {
                 m_monitors[number] = {host, stream, 0};
             });
-        stream->start(
+        stream->set_handlers(
             [this, number](v1::MonitorRequest message)
             {
                 deliver(
@@ -190,6 +196,7 @@
                         m_monitors.erase(number);
                     });
             });
+        stream->start();
     }
 
     void seal(const std::shared_ptr<unary_call<v1::SealResponse>>& call,
--- a/lib/standin_server/reactors.hpp
+++ b/lib/standin_server/reactors.hpp
@@ -87,13 +87,28 @@
         return stream;
     }
 
-    // Begins to read. `closed` is called once, also after finish().
-    void start(std::function<void(Request)> received,
-               std::function<void()> closed)
+    // Sets the handlers; before anything else may end the stream. `closed` is
+    // called once, also after finish().
+    void set_handlers(std::function<void(Request)> received,
+                      std::function<void()> closed)
     {
         m_received = std::move(received);
         m_closed = std::move(closed);
-        this->StartRead(&m_request);
+    }
+
+    // Begins to read, unless the stream has been finished meanwhile.
+    void start()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_finished)
+            this->StartRead(&m_request);
+    }
+
+    // True when the stream was finished or the peer has given up.
+    bool is_finished()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_finished;
     }
 
     // Sends a message after those before it; nothing on an ended stream.
