magnolia-load: fail direct calls without a connection; storm rate factor

In the first run of utils/measure.sh 51 direct calls of muscat never ended: the proxies held all 20 connections of the endpoint, so the direct streams were refused and their calls waited for ever. Such calls now fail, and the deployment of a direct run accepts four connections more. Reconnect storms run with higher rates, because at the normal ones 712 refusals by the rate decided the time of 2,000 callers.

--- a/include/magnoliastack/load/profile.hpp
+++ b/include/magnoliastack/load/profile.hpp
@@ -81,9 +81,10 @@
 limits limits_of(const profile& what, const organisation_share& who);
 
 // The operators' inventory of a deployment whose endpoints listen on loopback
-// from `first_port` on, group by group.
+// from `first_port` on, group by group. `factor` multiplies the rates and
+// bursts; a reconnect storm at the normal rates measures only the rates.
 std::string inventory_text(const profile& what, std::uint32_t slots,
-                           std::uint16_t first_port);
+                           std::uint16_t first_port, double factor = 1);
 
 } // namespace magnoliastack::load
 
--- a/lib/load/endpoint_caller.cpp
+++ b/lib/load/endpoint_caller.cpp
@@ -42,6 +42,14 @@
     return answered ? response.status().accepted_term() : 0;
 }
 
+call_result no_connection()
+{
+    call_result result;
+    result.m_failure = "direct_no_connection";
+    result.m_may_have_run = false;
+    return result;
+}
+
 class connection;
 
 // Spreads calls over connections; each runs one call at a time.
@@ -55,7 +63,8 @@
 
     // A connection can take a call; gives it the oldest one that waits.
     void ready(connection* which);
-    void closed();
+    // A connection ended; the last one fails the calls that wait.
+    void closed(connection* which);
 
     [[nodiscard]] std::uint64_t term() const
     {
@@ -69,6 +78,9 @@
     std::deque<waiting_call> m_waiting;
     std::deque<connection*> m_idle;
     std::vector<std::unique_ptr<connection>> m_connections;
+    // Connections that can still take calls, and those whose end is not fully
+    // handled.
+    std::size_t m_usable = 0;
     std::size_t m_open = 0;
 };
 
@@ -132,7 +144,7 @@
             m_result.m_failure = "direct_connection_lost";
             m_call.m_done(std::move(m_result));
         }
-        m_owner.closed();
+        m_owner.closed(this);
     }
 
 private:
@@ -177,7 +189,7 @@
 endpoint_caller::endpoint_caller(const std::string& address,
                                  std::size_t connections)
     : m_stub(v1::Endpoint::NewStub(open_channel(address))),
-      m_term(term_of(*m_stub)), m_open(connections)
+      m_term(term_of(*m_stub)), m_usable(connections), m_open(connections)
 {
     for (std::size_t index = 0; index < connections; ++index)
         m_connections.push_back(std::make_unique<connection>(*this, *m_stub));
@@ -200,14 +212,19 @@
     connection* free = nullptr;
     {
         const absl::MutexLock lock(&m_mutex);
-        if (m_idle.empty())
+        if (m_idle.empty() && m_usable > 0)
         {
             m_waiting.push_back({std::move(what), std::move(done)});
             return;
         }
-        free = m_idle.front();
-        m_idle.pop_front();
+        if (!m_idle.empty())
+        {
+            free = m_idle.front();
+            m_idle.pop_front();
+        }
     }
+    if (free == nullptr)
+        return done(no_connection());
     free->run({std::move(what), std::move(done)});
 }
 
@@ -227,8 +244,18 @@
     which->run(std::move(next));
 }
 
-void endpoint_caller::closed()
+void endpoint_caller::closed(connection* which)
 {
+    std::deque<waiting_call> left;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        std::erase(m_idle, which);
+        if (--m_usable == 0)
+            left = std::exchange(m_waiting, {});
+    }
+    for (waiting_call& call : left)
+        call.m_done(no_connection());
+    // The destructor waits for this, so it comes last.
     const absl::MutexLock lock(&m_mutex);
     --m_open;
 }
--- a/lib/load/profile.cpp
+++ b/lib/load/profile.cpp
@@ -95,12 +95,15 @@
 }
 
 std::string inventory_text(const profile& what, std::uint32_t slots,
-                           std::uint16_t first_port)
+                           std::uint16_t first_port, double factor)
 {
     std::string text = absl::StrCat("[fleet]\nslots = ", slots, "\n");
     for (const organisation_share& who : what.m_organisations)
     {
-        const limits allowed = limits_of(what, who);
+        limits allowed = limits_of(what, who);
+        allowed.m_rate *= factor;
+        allowed.m_burst = static_cast<std::uint64_t>(
+            std::ceil(static_cast<double>(allowed.m_burst) * factor));
         absl::StrAppend(
             &text, "[organisation ", who.m_name, "]\nrate = ", allowed.m_rate,
             "/s\nburst = ", allowed.m_burst, "\n[caller ", who.m_name,
--- a/tools/magnolia-load/main.cpp
+++ b/tools/magnolia-load/main.cpp
@@ -46,6 +46,7 @@
     std::size_t m_direct_connections = 3;
     std::uint32_t m_slots = 8;
     std::uint16_t m_first_port = 0;
+    double m_rate_factor = 1;
     std::string m_address;
     std::string m_faults;
     bool m_platform = false;
@@ -349,6 +350,11 @@
         *app.add_subcommand("inventory", "print a profile's inventory");
     add_profile(inventory_command, given);
     inventory_command.add_option("--slots", given.m_slots, "share slots");
+    inventory_command
+        .add_option("--rate-factor", given.m_rate_factor,
+                    "multiplies the organisations' rates and bursts")
+        ->check(CLI::Range(0.01, 1000.0))
+        ->capture_default_str();
     inventory_command
         .add_option("--first-port", given.m_first_port,
                     "loopback port of the first endpoint")
@@ -392,7 +398,7 @@
         return EXIT_SUCCESS;
     }
     std::fputs(load::inventory_text(*given.m_run.m_profile, given.m_slots,
-                                    given.m_first_port)
+                                    given.m_first_port, given.m_rate_factor)
                    .c_str(),
                stdout);
     return EXIT_SUCCESS;
--- a/utils/deployment.sh
+++ b/utils/deployment.sh
@@ -8,8 +8,10 @@
 # FOLDER keeps settings, logs, keys and process ids; by default a folder below
 # TMPDIR for each profile. It is removed by stop. Environment: HOSTS (default
 # 8), FIRST_PORT (default 21000), BIN (default build/bin), ENDPOINT_OPTIONS
-# (more options of each standin-endpoint), LOG_LEVEL (default warning),
-# KEEP=1 leaves FOLDER in place at stop.
+# (more options of each standin-endpoint), EXTRA_CONNECTIONS (that endpoints
+# accept beside the proxies' ones, default 0), RATE_FACTOR (of rates and bursts,
+# default 1), LOG_LEVEL (default warning), KEEP=1 leaves FOLDER in place at
+# stop.
 set -eu
 cd "$(dirname "$0")/.."
 action=${1:?start or stop}
@@ -74,6 +76,7 @@
     local endpoint_port=$((first_port + 1))
     local proxy_port=$((first_port + 20))
     "$bin/magnolia-load" inventory --profile "$profile" --slots "$hosts" \
+        --rate-factor "${RATE_FACTOR:-1}" \
         --first-port "$endpoint_port" >"$folder/inventory.ini"
 
     launch platform "$bin/standin-platform" --address "$platform"
@@ -85,7 +88,8 @@
         for index in 1 2 3; do
             local options=(--address "127.0.0.1:$port" --group "$group"
                 --endpoint "$group-$index" --members "$members"
-                --slots "$slots" --connection-limit "$connections"
+                --slots "$slots"
+                --connection-limit $((connections + ${EXTRA_CONNECTIONS:-0}))
                 --connect-delay 10ms)
             [ "$index" = 1 ] && options+=(--initial-primary)
             # shellcheck disable=SC2086
--- a/utils/measure.sh
+++ b/utils/measure.sh
@@ -4,6 +4,7 @@
 #
 # Usage: utils/measure.sh [SCENARIO ...]   (default: all)
 # Environment: SECONDS_PER_RUN (default 18), SEED (default 1), PROFILES,
+# APPEND=1 (keep the rows of earlier runs),
 # RETURNING (numbers of callers, default "500 2000"), OUT (default
 # docs/MEASURES.md), FOLDER for the reports (default build/measures).
 set -u
@@ -20,8 +21,7 @@
 mkdir -p "$reports"
 rows=$reports/rows.md
 notes=$reports/notes.md
-: >"$rows"
-: >"$notes"
+[ "${APPEND:-0}" = 1 ] || : >"$rows" >"$notes"
 
 endpoint_address() { # NAME
     grep -A 4 "^\[endpoint $1\]" "$folder/inventory.ini" |
@@ -95,7 +95,13 @@
 
 run_one() { # PROFILE SCENARIO
     local profile=$1 scenario=$2 options=() name code=0 pids=""
-    folder=$(utils/deployment.sh start "$profile" 2>"$reports/start.log" |
+    # Streams of direct calls must not take connections from the proxies. A
+    # storm at the normal rates would measure only the rates.
+    local extra=0 factor=1
+    [ "$scenario" = direct ] && extra=4
+    [ "$scenario" = returning ] && factor=${STORM_FACTOR:-40}
+    folder=$(EXTRA_CONNECTIONS=$extra RATE_FACTOR=$factor \
+        utils/deployment.sh start "$profile" 2>"$reports/start.log" |
         tail -n 1)
     if [ -z "$folder" ]; then
         echo "- $profile $scenario: the deployment did not start: $(
@@ -124,6 +130,7 @@
             "$load" returning --profile "$profile" --seed "$seed" \
                 --proxies "$(cut -d, -f1,2 "$folder/proxies")" \
                 --keys "$folder/keys" --callers "$count" \
+                --write-rate 250 \
                 --process-ids "$pids" --json "$report-$count.json" \
                 >"$report-$count.txt" 2>&1
             { echo "- $profile, $count callers over two proxies, exit $?:"
@@ -182,6 +189,8 @@
 - platform-outage: from 5 s to 13 s.
 - overload: the fifth organisation at 10 times its offered rate.
 - replicas-behind: replicas show entries 200 ms late.
+- returning: rates and bursts times ${STORM_FACTOR:-40}; all callers connect at one moment
+  to two of the eight proxies, present their sessions and read their own write.
 - direct: half of one group's sessions go straight to its primary.
 
 END
