--- a/lib/load/returning.cpp
+++ b/lib/load/returning.cpp
@@ -66,6 +66,7 @@
     returning_report run()
     {
         establish();
+        open_channels();
         m_report.m_resident_before = read_memory();
         m_report.m_resident_peak = m_report.m_resident_before;
         m_storm = m_loop.now();
@@ -127,6 +128,16 @@
             start + paced + m_options.m_deadline + absl::Seconds(5));
     }
 
+    // A channel connects at its first call. It is made before the storm, as
+    // making thousands takes seconds of this thread.
+    void open_channels()
+    {
+        for (std::size_t index = 0; index < m_callers.size(); ++index)
+            // The other proxy than the one of the session's write.
+            m_callers[index].m_connection = call_proxy(open_channel(
+                m_options.m_proxies[(index + 1) % m_options.m_proxies.size()]));
+    }
+
     call_request base_request(const returning_caller& who)
     {
         call_request call;
@@ -173,10 +184,6 @@
         returning_caller& who = m_callers[index];
         if (who.m_token.empty() || m_over)
             return;
-        if (!who.m_connection)
-            // The other proxy than the one of the session's write.
-            who.m_connection = call_proxy(open_channel(
-                m_options.m_proxies[(index + 1) % m_options.m_proxies.size()]));
         call_request call = base_request(who);
         call.m_request.add_statements()->mutable_get()->set_key(who.m_key);
         start(*who.m_connection, std::move(call),
