--- a/tools/magnolia-bench/main.cpp
+++ b/tools/magnolia-bench/main.cpp
@@ -90,14 +90,15 @@
         }
 }
 
-std::vector<quantity> measure_gossip()
+std::vector<quantity> measure_gossip(const std::string& prefix,
+                                     const std::vector<int>& counts)
 {
     constexpr int settle_seconds = 5;
     constexpr int seconds = 30;
-    quantity bytes{"gossip-bytes", "bytes/s per host", "host known", {}};
-    quantity cpu{"gossip-cpu", "us/s per host", "host known", {}};
-    quantity memory{"gossip-memory", "bytes per host", "host known", {}};
-    for (const int count : {9, 50, 150, 300, 550})
+    quantity bytes{prefix + "-bytes", "bytes/s per host", "host known", {}};
+    quantity cpu{prefix + "-cpu", "us/s per host", "host known", {}};
+    quantity memory{prefix + "-memory", "bytes per host", "host known", {}};
+    for (const int count : counts)
     {
         const double before = bytes_in_use();
         rpc::host_list list;
@@ -442,16 +443,28 @@
     std::string filter;
     app.add_flag("--json", json, "print one JSON object per quantity and line");
     app.add_option("--filter", filter,
-                   "measure only gossip, group, pool, ledger, inventory or "
-                   "statement");
+                   "measure only group, pool, ledger, inventory, "
+                   "gossip or statement");
     CLI11_PARSE(app, argc, argv);
 
     const std::vector<
         std::pair<std::string, std::function<std::vector<quantity>()>>>
-        all = {
-            {"group", measure_groups},         {"pool", measure_pool},
-            {"ledger", measure_ledger},        {"inventory", measure_inventory},
-            {"statement", measure_statements}, {"gossip", measure_gossip}};
+        all = {{"group", measure_groups},
+               {"pool", measure_pool},
+               {"ledger", measure_ledger},
+               {"inventory", measure_inventory},
+               {"statement", measure_statements},
+               // Two modes, so two lines: all exchange whole tables up to 16
+               // hosts.
+               {"gossip",
+                []
+                {
+                    return measure_gossip("gossip-full", {4, 9, 12, 16});
+                }},
+               {"gossip", []
+                {
+                    return measure_gossip("gossip", {50, 150, 300, 550});
+                }}};
     try
     {
         bool found = false;
