Use a confirmation only for the version it is about; end cleanly

A trial log showed a request admitted under version 2 with a confirmation 1 ms old: the keeper had already put version 3 in force and was confirmed for it, but the control plane rebuilt its key ring at the next tick, up to 5 ms later. The confirmation now counts only when the version in use is the keeper's, and the key ring is rebuilt when content arrives. Ruled out: stale send times, the bound (3 s on every host), votes of peers with a higher version.

The core now drops its work first, then the links wait for their last callbacks, then the core goes.

Cause 3: magnolia-ctl drain did not end the process, because only the signal was waited for.

Also: the rate gate uses the burst part that the ledger assigns, the judge of acceptance collects evidence every 200 ms while a change is pending, and the gossip visits a majority in time while the store is down.

The pool's test of silence sets a longer call timeout, because the call timeout (1 s) now comes before the silence it waits for; a new test covers the call timeout itself.

--- a/include/magnoliastack/proxy/core.hpp
+++ b/include/magnoliastack/proxy/core.hpp
@@ -72,9 +72,17 @@
     // Takes no new request from now on and finishes those that run.
     void drain();
 
+    // True once a planned stop was asked for, by a signal or an operator.
+    [[nodiscard]] bool is_draining() const;
+
     // True when the planned stop is complete.
     [[nodiscard]] bool is_drained() const;
 
+    // Drops all work and connections; the loop must have stopped. Callbacks of
+    // the links refer to the core, so the links are destroyed between this and
+    // the core's destruction.
+    void close();
+
     // Has the platform drop this host from its list; last step of a stop.
     void announce_gone();
 
--- a/lib/proxy/control_plane.cpp
+++ b/lib/proxy/control_plane.cpp
@@ -11,6 +11,7 @@
 
 const absl::Duration platform_timeout = absl::Milliseconds(800);
 const absl::Duration peer_timeout = absl::Milliseconds(400);
+const absl::Duration judge_interval = absl::Milliseconds(200);
 const absl::Duration list_interval = absl::Seconds(1);
 
 // How long a planned stop waits for loans to end, so that its slots can be
@@ -107,6 +108,7 @@
     tick_members(now);
     tick_shares(now);
     tick_changes(now);
+    tick_judge(now);
 }
 
 void control_plane::refresh_list(base::instant now)
@@ -200,6 +202,7 @@
                 [this, hash, answer = std::move(answer)]
                 {
                     m_keeper.object_read(hash, answer, m_shared.m_clock.now());
+                    refresh_fleet(m_shared.m_clock.now());
                 });
         });
 }
@@ -216,6 +219,7 @@
                 {
                     m_keeper.peer_object_read(host, answer,
                                               m_shared.m_clock.now());
+                    refresh_fleet(m_shared.m_clock.now());
                 });
         });
 }
@@ -364,7 +368,7 @@
         }
     }
     m_members.set_slots(m_slots->holdings(), m_slots->row_version());
-    m_ledger.set_slots(m_slots->slots(), m_fleet->m_inventory.m_slots,
+    m_ledger.set_slots(m_slots->slots(), m_slots->slot_count(),
                        m_slots->confirmed_at(), now);
     const absl::Duration age = m_keeper.confirmed_age(now);
     std::optional<base::instant> confirmed_at;
@@ -537,6 +541,25 @@
     }
 }
 
+// The judge collects evidence whenever it is asked, so it is asked while a
+// change is pending, whether or not an operator waits.
+void control_plane::tick_judge(base::instant now)
+{
+    if (m_fleet == nullptr || now < m_next_judgement)
+        return;
+    m_next_judgement = now + judge_interval;
+    const base::configuration_version present = m_fleet->m_change.m_version;
+    if (m_accepted < present && judge(present, now).m_accepted)
+        m_accepted = present;
+    // Confirmation by peers and acceptance need answers from a majority within
+    // the bound; in a large fleet the gossip alone visits too few peers.
+    const bool needs_majority =
+        !m_keeper.is_store_reachable() || m_accepted < present;
+    m_members.set_contact_period(
+        needs_majority ? m_fleet->m_inventory.m_configuration_bound / 2
+                       : absl::ZeroDuration());
+}
+
 std::vector<configuration::host_report>
 control_plane::reports(base::instant now) const
 {
--- a/lib/proxy/control_plane.hpp
+++ b/lib/proxy/control_plane.hpp
@@ -70,9 +70,14 @@
     {
         return m_ledger;
     }
+    // True while the version in use is confirmed current. The keeper can be
+    // ahead of fleet() for a moment; its confirmation then says nothing about
+    // the older version.
     [[nodiscard]] bool is_confirmed(base::instant now) const
     {
-        return m_keeper.is_confirmed(now);
+        return m_fleet && m_keeper.active() != nullptr &&
+               m_fleet->m_change == m_keeper.active()->m_change &&
+               m_keeper.is_confirmed(now);
     }
 
     // Endpoints that are leaving by the platform's list or the peers' word.
@@ -126,6 +131,7 @@
     void tick_members(base::instant now);
     void tick_shares(base::instant now);
     void tick_changes(base::instant now);
+    void tick_judge(base::instant now);
     void read_configuration_row(base::instant now);
     void fetch_object(const std::string& hash);
     void fetch_from_peer(const configuration::fetch_from_peer& what);
@@ -157,6 +163,9 @@
     std::unique_ptr<active_fleet> m_fleet;
     std::vector<std::shared_ptr<running_change>> m_changes;
     base::instant m_next_list;
+    base::instant m_next_judgement;
+    // The newest version that is known to be accepted.
+    base::configuration_version m_accepted;
     bool m_leaving = false;
     bool m_released = false;
     base::instant m_release_deadline;
--- a/lib/proxy/core.cpp
+++ b/lib/proxy/core.cpp
@@ -97,6 +97,16 @@
     m_state->drain();
 }
 
+bool core::is_draining() const
+{
+    return m_state->is_draining();
+}
+
+void core::close()
+{
+    m_state->close();
+}
+
 void core::announce_gone()
 {
     m_state->control().announce_gone();
--- a/lib/proxy/core_state.cpp
+++ b/lib/proxy/core_state.cpp
@@ -89,6 +89,14 @@
         m_control.release_shares(now);
 }
 
+void core::state::close()
+{
+    m_gate.clear();
+    m_groups.clear();
+    m_shared.m_timers.clear();
+    m_jobs.clear();
+}
+
 void core::state::refresh_groups(base::instant /*now*/)
 {
     const active_fleet* fleet = m_control.fleet();
--- a/lib/proxy/core_state.hpp
+++ b/lib/proxy/core_state.hpp
@@ -61,8 +61,13 @@
     state& operator=(const state&) = delete;
 
     void tick();
+    void close();
     void drain();
     [[nodiscard]] bool is_drained() const;
+    [[nodiscard]] bool is_draining() const
+    {
+        return m_draining;
+    }
 
     void execute(caller_request request,
                  const std::shared_ptr<caller_reply>& reply);
--- a/lib/proxy/host_process.cpp
+++ b/lib/proxy/host_process.cpp
@@ -133,9 +133,15 @@
         if (m_loop)
             m_loop->stop();
         // Open calls are answered by their replies' destructors, and the
-        // server waits for that.
-        m_core.reset();
+        // server waits for that. The links wait for their last callbacks,
+        // which refer to the core.
+        if (m_core)
+            m_core->close();
         m_server.reset();
+        m_endpoints.reset();
+        m_platform.reset();
+        m_peers.reset();
+        m_core.reset();
     }
 
     void drain()
@@ -143,7 +149,7 @@
         m_loop->post(
             [this]
             {
-                begin_drain();
+                m_core->drain();
             });
     }
 
@@ -157,7 +163,10 @@
     {
         m_core->tick();
         m_metrics.counter("loop.ticks").add(1);
-        if (m_draining && m_core->is_drained() && !m_drained.load())
+        if (!m_core->is_draining())
+            return;
+        begin_drain();
+        if (m_core->is_drained() && !m_drained.load())
             finish_drain();
     }
 
@@ -165,7 +174,6 @@
     {
         if (std::exchange(m_draining, true))
             return;
-        m_core->drain();
         // Health checks of the platform's balancer take the host out.
         if (auto* health = m_server->GetHealthCheckService())
             health->SetServingStatus(false);
--- a/lib/proxy/rate_gate.cpp
+++ b/lib/proxy/rate_gate.cpp
@@ -56,9 +56,11 @@
                             organisation_gate& gate, base::instant now)
 {
     const std::string resource = resource_of(who.m_id);
-    gate.m_bucket.set_limits(who.m_rate, static_cast<double>(who.m_burst),
-                             m_shares.usable(resource, now),
-                             m_shares.usable_until(resource, now), now);
+    const double capacity = m_shares.burst_capacity(
+        resource, static_cast<double>(who.m_burst), now);
+    gate.m_bucket.set_share(who.m_rate, capacity,
+                            m_shares.usable(resource, now),
+                            m_shares.usable_until(resource, now), now);
 }
 
 void rate_gate::admit_waiting(organisation_gate& gate, base::instant now)
@@ -86,9 +88,8 @@
         apply_share(*who, gate, now);
         admit_waiting(gate, now);
         m_shares.demand(resource_of(id),
-                        gate.m_demand.demand(who->m_rate,
-                                             static_cast<double>(who->m_burst),
-                                             gate.m_waiting.size(), now),
+                        gate.m_demand.demand(who->m_rate, gate.m_waiting.size(),
+                                             gate.m_bucket.tokens(now), now),
                         now);
     }
     // What waits for an organisation that is gone is refused when its time
--- a/lib/proxy/rate_gate.hpp
+++ b/lib/proxy/rate_gate.hpp
@@ -37,6 +37,12 @@
     // Call it after each change of the ledger.
     void tick(const inventory::inventory& limits, base::instant now);
 
+    // Drops what waits without a decision.
+    void clear()
+    {
+        m_gates.clear();
+    }
+
     // Requests that wait for a token.
     [[nodiscard]] std::size_t waiting() const;
 
--- a/lib/proxy/timer_queue.hpp
+++ b/lib/proxy/timer_queue.hpp
@@ -22,6 +22,12 @@
         m_timers.emplace(at, std::move(what));
     }
 
+    // Drops all timers.
+    void clear()
+    {
+        m_timers.clear();
+    }
+
     // Runs everything that is due, also what is scheduled meanwhile.
     void run_due(base::instant now)
     {
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -101,7 +101,7 @@
         const test::response got =
             caller.execute_at(2, test::get("a"), short_deadline);
         cr_assert(got.m_outcome != test::outcome::done,
-                  "the paused host served a withdrawn key");
+                  "the paused host served a withdrawn key at step %d", step);
     }
 }
 
@@ -300,6 +300,19 @@
     cr_assert_gt(done.load(), 50);
 }
 
+// Guards against an operator's drain that leaves the process running.
+Test(fleet, a_drain_by_command_ends_the_process)
+{
+    test::deployment fleet({});
+    grpc::ClientContext context;
+    test::prepare(context, "", short_deadline);
+    v1::DrainResponse response;
+    cr_assert(fleet.operators(1)
+                  ->Drain(&context, v1::DrainRequest(), &response)
+                  .ok());
+    cr_assert_eq(fleet.proxy(1).wait_for_exit(15), 0);
+}
+
 // Guards against reads that all go to the primary. Target: 90 % from replicas
 // at 200 ms replication lag, here for reads that follow no own write.
 Test(fleet, replicas_serve_reads_at_200_ms_lag)
--- a/tools/magnolia-proxy/main.cpp
+++ b/tools/magnolia-proxy/main.cpp
@@ -9,10 +9,10 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <iterator>
 #include <string>
-#include <thread>
 
 namespace
 {
@@ -27,7 +27,7 @@
 constexpr int exit_wrong_settings = 2;
 
 // How often the end of a planned stop is looked for.
-constexpr auto stop_poll = std::chrono::milliseconds(10);
+constexpr timespec stop_poll{0, 10'000'000};
 
 // The content of a file whose readability the settings have checked.
 std::string read_file(const std::string& path)
@@ -101,11 +101,10 @@
                                       {{"reason", host.error().m_message}});
         return exit_start_failed;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
-    (*host)->drain();
+    // An operator's drain command ends the process as well.
     while (!(*host)->is_drained())
-        std::this_thread::sleep_for(stop_poll);
+        if (sigtimedwait(&signals, nullptr, &stop_poll) > 0)
+            (*host)->drain();
     return EXIT_SUCCESS;
 }
 
--- a/unittests/pool/pool_test.cpp
+++ b/unittests/pool/pool_test.cpp
@@ -84,7 +84,8 @@
 // and against closing one that answers its ping.
 Test(endpoint_pool, silence_in_a_call_is_pinged_and_closed)
 {
-    endpoint_pool pool(base::endpoint_id("a"));
+    endpoint_pool pool(base::endpoint_id("a"),
+                       {.m_call_timeout = absl::Seconds(5)});
     const auto one = open_one(pool, at_ms(0));
     pool.acquire(at_ms(0));
     const auto call = pool.next_call(one);
@@ -104,6 +105,26 @@
     cr_assert_eq(pool.counters().m_late_answers, 1);
 }
 
+// Guards against a call that waits for ever for an answer that was lost on a
+// connection that still answers pings.
+Test(endpoint_pool, a_lost_answer_on_a_live_connection_times_out)
+{
+    endpoint_pool pool(base::endpoint_id("a"));
+    const auto one = open_one(pool, at_ms(0));
+    pool.acquire(at_ms(0));
+    pool.call_sent(one, pool.next_call(one), at_ms(0));
+    for (int ms = 50; ms < 1'000; ms += 50)
+    {
+        const auto actions = pool.tick(at_ms(ms));
+        cr_assert(only<pool::close>(actions).empty());
+        for (const auto& ping : only<pool::send_ping>(actions))
+            pool.part_received(one, ping.m_call, at_ms(ms));
+    }
+    const auto closed = only<pool::close>(pool.tick(at_ms(1'000)));
+    cr_assert_eq(closed.size(), 1);
+    cr_assert(closed[0].m_reason == pool::close_reason::call_timeout);
+}
+
 // Guards against dead idle connections that are found only by a request.
 Test(endpoint_pool, idle_connections_are_pinged_every_second)
 {
