--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -74,6 +74,37 @@
     }
 }
 
+// Guards against a request that runs for another organisation than its key's,
+// without a key, or with the session of another organisation.
+Test(fleet, a_request_runs_only_for_its_keys_organisation)
+{
+    test::deployment fleet({});
+    const auto reason = [&](test::caller& who, const char* route)
+    {
+        const test::response got =
+            who.execute_at(0, test::get("a", route), short_deadline);
+        cr_assert(got.m_outcome == test::outcome::not_run);
+        return got.m_refusal.reason();
+    };
+    test::caller souq(fleet, fleet.key(), 50);
+    cr_assert(reason(souq, "nurses-only") ==
+              v1::REFUSAL_REASON_WRONG_ORGANISATION);
+    test::caller nobody(fleet, "", 51);
+    cr_assert(reason(nobody, "orders") == v1::REFUSAL_REASON_KEY_MISSING);
+    test::caller guesser(fleet, "mk_0_0", 52);
+    cr_assert(reason(guesser, "orders") == v1::REFUSAL_REASON_KEY_REJECTED);
+
+    cr_assert(souq.execute_at(0, test::get("a"), short_deadline).m_outcome ==
+              test::outcome::done);
+    test::caller nurses(fleet, fleet.issue_key("nurses"), 53);
+    cr_assert(
+        nurses.execute_at(0, test::get("a", "nurses-only"), short_deadline)
+            .m_outcome == test::outcome::done);
+    nurses.set_token(souq.token());
+    cr_assert(reason(nurses, "nurses-only") ==
+              v1::REFUSAL_REASON_TOKEN_REJECTED);
+}
+
 // Guards against a paused host that serves a withdrawn key when it wakes up,
 // and against `accepted` while that host might still serve it.
 Test(fleet, a_paused_host_does_not_serve_a_withdrawn_key)
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -187,6 +187,8 @@
                 "\nslots = 3\nconnections = 20\n";
     text += "[route orders]\ngroup = ledger\naccess = keyed\nstaleness = 2s\n"
             "[route latest]\ngroup = ledger\naccess = keyed\nstaleness = 0ms\n"
+            "[route nurses-only]\ngroup = ledger\naccess = keyed\n"
+            "staleness = 2s\norganisations = nurses\n"
             "[route public]\ngroup = ledger\naccess = open\nstaleness = 5s\n";
     return text;
 }
--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -75,9 +75,12 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(socket_fd, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(socket_fd, reinterpret_cast<sockaddr*>(&address), &size);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    const bool bound = bind(socket_fd, generic, size) == 0 &&
+                       getsockname(socket_fd, generic, &size) == 0;
     close(socket_fd);
+    if (!bound)
+        throw std::runtime_error("no free port on loopback");
     return ntohs(address.sin_port);
 }
 
--- a/test/support/workers.hpp
+++ b/test/support/workers.hpp
@@ -59,6 +59,10 @@
     {
         return m_token;
     }
+    void set_token(std::string token)
+    {
+        m_token = std::move(token);
+    }
 
 private:
     int next_proxy();
--- a/unittests/proxy/rate_gate_test.cpp
+++ b/unittests/proxy/rate_gate_test.cpp
@@ -71,11 +71,11 @@
 class simulation
 {
 public:
-    simulation(unsigned seed, double load, bool faulty)
+    simulation(unsigned seed, double load, bool faulty, double rate = 4)
         : m_random(seed), m_load(load), m_faulty(faulty)
     {
         m_who.m_id = base::organisation_id("keepers");
-        m_who.m_rate = 4;
+        m_who.m_rate = rate;
         m_who.m_burst = 8;
         m_limits.m_organisations[m_who.m_id] = m_who;
         for (int number = 0; number < host_count; ++number)
@@ -143,8 +143,10 @@
             const unsigned fate = m_faulty ? m_random() % 20 : 2;
             if (fate == 0)
                 amount = 0;
-            m_messages.push_back(
-                {m_time + (fate == 1 ? 0.7 : 0.002), number, amount, now});
+            // Others take as long as tokens last.
+            const double delay =
+                fate == 1 ? 0.7 : (m_faulty && fate < 12 ? 0.14 : 0.002);
+            m_messages.push_back({m_time + delay, number, amount, now});
         }
     }
 
@@ -231,6 +233,20 @@
     }
 }
 
+// Guards against a lender that fills up again while its tokens are on their
+// way: at a high rate the bucket is full before they are used.
+Test(rate_gate, tokens_on_their_way_count_against_the_burst)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed)
+    {
+        const totals result = simulation(seed, 1.2, true, 400).run();
+        const double burst = largest_burst(result.m_admitted, 400);
+        // Time advances in steps of 5 ms, in which 2 requests become due.
+        cr_assert(burst <= 8 + 400 * 0.005 + 1e-6, "seed %u: a burst of %f",
+                  seed, burst);
+    }
+}
+
 // Guards against refusals of a small organisation inside its rate because its
 // tokens are on other hosts. Target: below 0.5 %; at half of the rate one
 // bucket for all hosts would refuse next to nothing.
