--- a/include/magnoliastack/inventory/difference.hpp
+++ b/include/magnoliastack/inventory/difference.hpp
@@ -43,6 +43,13 @@
 // `~ [organisation oyster] rate: 100/s -> 200/s`. Empty for no change.
 std::string to_text(const difference& changes);
 
+// What is wrong with a change of the endpoints of a group: with more than one
+// added or removed at once, a majority of the old endpoints and one of the new
+// ones need not share an endpoint, so an acknowledged write could be lost and
+// two primaries could work side by side. Empty when the change is safe.
+std::vector<std::string> unsafe_changes(const inventory& before,
+                                        const inventory& after);
+
 } // namespace magnoliastack::inventory
 
 #endif
--- a/include/magnoliastack/request/machine.hpp
+++ b/include/magnoliastack/request/machine.hpp
@@ -153,6 +153,7 @@
     action probe_ended(rpc::call_end end, std::vector<rpc::row> rows,
                        base::instant now);
     action outcome_lost(retry_reason reason, base::instant now);
+    action record_expired(base::instant now);
 
     description m_what;
     retry_policy& m_retries;
--- a/lib/inventory/difference.cpp
+++ b/lib/inventory/difference.cpp
@@ -5,6 +5,8 @@
 #include "absl/strings/str_join.h"
 #include "absl/time/time.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace magnoliastack::inventory
@@ -108,4 +110,28 @@
     return out;
 }
 
+std::vector<std::string> unsafe_changes(const inventory& before,
+                                        const inventory& after)
+{
+    std::vector<std::string> problems;
+    for (const auto& [id, old_group] : before.m_groups)
+    {
+        const group* new_group = after.find(id);
+        if (new_group == nullptr)
+            continue;
+        // Both lists are in the order of their names.
+        std::vector<base::endpoint_id> changed;
+        std::set_symmetric_difference(
+            old_group.m_endpoints.begin(), old_group.m_endpoints.end(),
+            new_group->m_endpoints.begin(), new_group->m_endpoints.end(),
+            std::back_inserter(changed));
+        if (changed.size() > 1)
+            problems.push_back("group " + id.str() + ": " +
+                               std::to_string(changed.size()) +
+                               " endpoints added or removed at once, expected "
+                               "at most 1 a change");
+    }
+    return problems;
+}
+
 } // namespace magnoliastack::inventory
--- a/lib/proxy/core_state.cpp
+++ b/lib/proxy/core_state.cpp
@@ -1,5 +1,7 @@
 #include "core_state.hpp"
 
+#include "magnoliastack/inventory/difference.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -528,6 +530,15 @@
             report.m_errors.push_back(item.to_string());
         return done(std::move(report));
     }
+    if (const active_fleet* fleet = m_control.fleet())
+    {
+        change_report report;
+        report.m_standing = change_standing::invalid;
+        report.m_errors =
+            inventory::unsafe_changes(fleet->m_inventory, *parsed);
+        if (!report.m_errors.empty())
+            return done(std::move(report));
+    }
     configuration::content next = present_content();
     next.m_inventory_text = std::move(request.m_inventory);
     if (next.m_token_secrets.empty())
--- a/lib/proxy/group_runtime.cpp
+++ b/lib/proxy/group_runtime.cpp
@@ -18,8 +18,7 @@
 // Timeout of a seal or promote; not longer than the controller's resend time.
 const absl::Duration control_timeout = absl::Milliseconds(200);
 
-// A silent primary gets no new calls after this long: they wait for its
-// recovery or its successor instead of on a connection.
+// Delay told to a caller whose request no endpoint can run at present.
 const absl::Duration retry_hint = absl::Milliseconds(200);
 
 } // namespace
@@ -180,69 +179,60 @@
         item->tick(now);
 }
 
+rpc::control_callback group_runtime::control_handler(base::term target,
+                                                     control_event event)
+{
+    return [alive = std::weak_ptr(m_alive), post = m_shared.m_post, target,
+            event](const base::endpoint_id& id,
+                   const base::result<rpc::control_answer>& answer)
+    {
+        post(
+            [alive, id, target, event, answer]
+            {
+                const auto self = alive.lock();
+                if (!self)
+                    return;
+                group_runtime& group = **self;
+                group.carry_out((group.m_failover.*event)(
+                    id, target, answer, group.m_shared.m_clock.now()));
+            });
+    };
+}
+
 void group_runtime::carry_out(const std::vector<failover::action>& actions)
 {
+    const auto address_of = [this](const base::endpoint_id& id)
+    {
+        return m_endpoints.at(id)->description().m_address;
+    };
     for (const failover::action& what : actions)
     {
         if (const auto* seal = std::get_if<failover::send_seal>(&what))
-        {
             m_shared.m_endpoints.seal(
-                seal->m_endpoint,
-                m_endpoints.at(seal->m_endpoint)->description().m_address,
-                seal->m_term, m_shared.m_self, control_timeout,
-                [alive = std::weak_ptr(m_alive), post = m_shared.m_post,
-                 term = seal->m_term](
-                    const base::endpoint_id& id,
-                    const base::result<rpc::control_answer>& answer)
-                {
-                    post(
-                        [alive, id, term, answer]
-                        {
-                            const auto self = alive.lock();
-                            if (!self)
-                                return;
-                            group_runtime& group = **self;
-                            group.carry_out(group.m_failover.seal_answered(
-                                id, term, answer,
-                                group.m_shared.m_clock.now()));
-                        });
-                });
-        }
+                seal->m_endpoint, address_of(seal->m_endpoint), seal->m_term,
+                m_shared.m_self, control_timeout,
+                control_handler(seal->m_term,
+                                &failover::controller::seal_answered));
         else if (const auto* promote =
                      std::get_if<failover::send_promote>(&what))
-        {
             m_shared.m_endpoints.promote(
-                promote->m_endpoint,
-                m_endpoints.at(promote->m_endpoint)->description().m_address,
+                promote->m_endpoint, address_of(promote->m_endpoint),
                 promote->m_term, m_shared.m_self, control_timeout,
-                [alive = std::weak_ptr(m_alive), post = m_shared.m_post,
-                 term = promote->m_term](
-                    const base::endpoint_id& id,
-                    const base::result<rpc::control_answer>& answer)
-                {
-                    post(
-                        [alive, id, term, answer]
-                        {
-                            const auto self = alive.lock();
-                            if (!self)
-                                return;
-                            group_runtime& group = **self;
-                            group.carry_out(group.m_failover.promote_answered(
-                                id, term, answer,
-                                group.m_shared.m_clock.now()));
-                        });
-                });
-        }
+                control_handler(promote->m_term,
+                                &failover::controller::promote_answered));
         else if (const auto* done = std::get_if<failover::promoted>(&what))
-        {
-            m_shared.m_metrics.counter("failover.promoted").add(1);
-            m_log.info("primary_promoted", {{"group", m_view.group()},
-                                            {"endpoint", done->m_endpoint},
-                                            {"term", done->m_term}});
-        }
+            report_promotion(*done);
     }
 }
 
+void group_runtime::report_promotion(const failover::promoted& what)
+{
+    m_shared.m_metrics.counter("failover.promoted").add(1);
+    m_log.info("primary_promoted", {{"group", m_view.group()},
+                                    {"endpoint", what.m_endpoint},
+                                    {"term", what.m_term}});
+}
+
 void group_runtime::set_leaving(const std::set<base::endpoint_id>& leaving)
 {
     for (const auto& [id, item] : m_endpoints)
--- a/lib/proxy/group_runtime.hpp
+++ b/lib/proxy/group_runtime.hpp
@@ -104,7 +104,16 @@
               base::refusal_reason reason, base::instant now);
     void place_parked(base::instant now);
     void check_commits(base::instant now);
+    // What the controller does with an answer to a seal or promote.
+    using control_event = std::vector<failover::action> (
+        failover::controller::*)(const base::endpoint_id&, base::term,
+                                 const base::result<rpc::control_answer>&,
+                                 base::instant);
+
+    rpc::control_callback control_handler(base::term target,
+                                          control_event event);
     void carry_out(const std::vector<failover::action>& actions);
+    void report_promotion(const failover::promoted& what);
     [[nodiscard]] std::vector<routing::endpoint_load> loads() const;
     [[nodiscard]] std::optional<base::endpoint_id>
     usable_primary(base::instant now) const;
--- a/lib/request/machine.cpp
+++ b/lib/request/machine.cpp
@@ -118,10 +118,7 @@
         m_attempt = m_attempt.next();
         return retry(retry_reason::fenced_attempt, event::not_run, now);
     case rpc::call_outcome::record_expired:
-        m_refusal = {base::refusal_reason::request_record_expired,
-                     base::execution::unknown, absl::ZeroDuration(),
-                     "the request id is older than the retention of records"};
-        return fire(event::failed, now);
+        return record_expired(now);
     case rpc::call_outcome::failed:
         m_may_have_run = false;
         m_refusal = {base::refusal_reason::statement_failed, execution(),
@@ -152,16 +149,21 @@
         m_awaiting_fence = true;
         return fire(event::answered, now);
     case rpc::call_outcome::record_expired:
-        m_refusal = {base::refusal_reason::request_record_expired,
-                     base::execution::unknown, absl::ZeroDuration(),
-                     "the request id is older than the retention of records"};
-        return fire(event::failed, now);
+        return record_expired(now);
     default:
         break;
     }
     return retry(retry_reason::probe_lost, event::outcome_lost, now);
 }
 
+action machine::record_expired(base::instant now)
+{
+    m_refusal = {base::refusal_reason::request_record_expired,
+                 base::execution::unknown, absl::ZeroDuration(),
+                 "the request id is older than the retention of records"};
+    return fire(event::failed, now);
+}
+
 action machine::connection_lost(base::instant now)
 {
     return outcome_lost(m_state.state() == state::probing
--- a/unittests/inventory/inventory_test.cpp
+++ b/unittests/inventory/inventory_test.cpp
@@ -110,3 +110,27 @@
                      "~ [organisation oyster] rate: 200/s -> 250.5/s\n"
                      "+ [caller stall-2]\n");
 }
+
+// Guards against a change after which an old and a new majority of a group do
+// not share an endpoint.
+Test(inventory, only_one_endpoint_of_a_group_changes_at_once)
+{
+    const auto with = [](const std::vector<std::string>& names)
+    {
+        inventory::inventory result;
+        inventory::group group;
+        group.m_id = magnoliastack::base::group_id("ledger");
+        for (const std::string& name : names)
+            group.m_endpoints.emplace_back(name);
+        result.m_groups[group.m_id] = group;
+        return result;
+    };
+    const auto three = with({"a", "b", "c"});
+    cr_assert(inventory::unsafe_changes(three, three).empty());
+    cr_assert(
+        inventory::unsafe_changes(three, with({"a", "b", "c", "d"})).empty());
+    cr_assert(inventory::unsafe_changes(three, with({"a", "b"})).empty());
+    // A replacement in one step is a removal and an addition.
+    cr_assert_eq(inventory::unsafe_changes(three, with({"a", "b", "d"})).size(),
+                 1U);
+}
