Split the share tick of the control plane into one step a function

Cause: read as a newcomer, tick_shares was 82 lines with three kinds of calls nested in it; the live peers were collected there although two other functions use them.

Ruled out: a class of its own for the shares, as it would need the members, the keeper and the links as well.

No behaviour is meant to change.

Conclusion: each step reads in one place.

--- a/lib/proxy/control_plane.cpp
+++ b/lib/proxy/control_plane.cpp
@@ -352,37 +352,7 @@
 {
     if (!m_slots)
         return;
-    std::vector<rpc::member_entry> entries;
-    std::vector<base::host_id> live;
-    for (const membership::member& item : m_members.members())
-    {
-        entries.push_back(item.m_entry);
-        if (item.m_entry.m_state == rpc::member_state::alive)
-            live.push_back(item.m_entry.m_host);
-    }
-    m_slots->members_changed(entries, now);
-    for (const share::slot_action& what : m_slots->tick(now))
-    {
-        if (std::holds_alternative<share::read_row>(what))
-        {
-            m_shared.m_metrics.counter("platform.reads").add(1);
-            m_platform.read_row(
-                share::slots_row_key, platform_timeout,
-                [this, sent_at = now](base::result<rpc::row_state> answer)
-                {
-                    m_shared.m_post(
-                        [this, sent_at, answer = std::move(answer)]
-                        {
-                            m_slots->row_read(answer, sent_at,
-                                              m_shared.m_clock.now());
-                        });
-                });
-        }
-        else if (const auto* swap = std::get_if<share::swap_row>(&what))
-        {
-            swap_slots(*swap, now);
-        }
-    }
+    tick_slots(now);
     m_members.set_slots(m_slots->holdings(), m_slots->row_version());
     m_ledger.set_slots(m_slots->slots(), m_slots->slot_count(),
                        m_slots->confirmed_at(), now);
@@ -391,44 +361,82 @@
     if (age != absl::InfiniteDuration())
         confirmed_at = now - age;
     m_ledger.set_confirmed(confirmed_at, now);
-    m_ledger.set_peers(live, now);
-    m_live = std::move(live);
+    m_ledger.set_peers(m_live, now);
     if (m_ledger.covers_loans(now))
         m_slots->slots_vacated(now);
     for (const share::ledger_action& what : m_ledger.tick(now))
     {
         if (const auto* ask = std::get_if<share::borrow>(&what))
+            send_borrow(*ask, now);
+        else if (const auto* back = std::get_if<share::return_loan>(&what))
+            send_return(*back);
+    }
+}
+
+void control_plane::tick_slots(base::instant now)
+{
+    std::vector<rpc::member_entry> entries;
+    m_live.clear();
+    for (const membership::member& item : m_members.members())
+    {
+        entries.push_back(item.m_entry);
+        if (item.m_entry.m_state == rpc::member_state::alive)
+            m_live.push_back(item.m_entry.m_host);
+    }
+    m_slots->members_changed(entries, now);
+    for (const share::slot_action& what : m_slots->tick(now))
+    {
+        if (std::holds_alternative<share::read_row>(what))
+            read_slots_row(now);
+        else if (const auto* swap = std::get_if<share::swap_row>(&what))
+            swap_slots(*swap, now);
+    }
+}
+
+void control_plane::read_slots_row(base::instant now)
+{
+    m_shared.m_metrics.counter("platform.reads").add(1);
+    m_platform.read_row(
+        share::slots_row_key, platform_timeout,
+        [this, sent_at = now](base::result<rpc::row_state> answer)
         {
-            m_peers.borrow(
-                address_of(ask->m_host), ask->m_request, peer_timeout,
-                [this, ask = *ask,
-                 sent_at = now](base::result<rpc::borrow_response> answer)
+            m_shared.m_post(
+                [this, sent_at, answer = std::move(answer)]
                 {
-                    m_shared.m_post(
-                        [this, ask, sent_at, answer = std::move(answer)]
-                        {
-                            m_ledger.borrow_answered(ask.m_host, ask.m_request,
-                                                     answer, sent_at,
-                                                     m_shared.m_clock.now());
-                        });
+                    m_slots->row_read(answer, sent_at, m_shared.m_clock.now());
                 });
-        }
-        else if (const auto* back = std::get_if<share::return_loan>(&what))
+        });
+}
+
+void control_plane::send_borrow(const share::borrow& what, base::instant now)
+{
+    m_peers.borrow(
+        address_of(what.m_host), what.m_request, peer_timeout,
+        [this, what, sent_at = now](base::result<rpc::borrow_response> answer)
         {
-            m_peers.give_back_loan(
-                address_of(back->m_host), back->m_message, peer_timeout,
-                [this, back = *back](base::result<bool> answer)
+            m_shared.m_post(
+                [this, what, sent_at, answer = std::move(answer)]
                 {
-                    m_shared.m_post(
-                        [this, back, answer = std::move(answer)]
-                        {
-                            m_ledger.give_back_answered(back.m_host,
-                                                        back.m_message, answer,
-                                                        m_shared.m_clock.now());
-                        });
+                    m_ledger.borrow_answered(what.m_host, what.m_request,
+                                             answer, sent_at,
+                                             m_shared.m_clock.now());
                 });
-        }
-    }
+        });
+}
+
+void control_plane::send_return(const share::return_loan& what)
+{
+    m_peers.give_back_loan(
+        address_of(what.m_host), what.m_message, peer_timeout,
+        [this, what](base::result<bool> answer)
+        {
+            m_shared.m_post(
+                [this, what, answer = std::move(answer)]
+                {
+                    m_ledger.give_back_answered(what.m_host, what.m_message,
+                                                answer, m_shared.m_clock.now());
+                });
+        });
 }
 
 void control_plane::swap_slots(const share::swap_row& what, base::instant now)
--- a/lib/proxy/control_plane.hpp
+++ b/lib/proxy/control_plane.hpp
@@ -147,6 +147,10 @@
     void tick_configuration(base::instant now);
     void tick_members(base::instant now);
     void tick_shares(base::instant now);
+    void tick_slots(base::instant now);
+    void read_slots_row(base::instant now);
+    void send_borrow(const share::borrow& what, base::instant now);
+    void send_return(const share::return_loan& what);
     void tick_changes(base::instant now);
     void tick_judge(base::instant now);
     void read_configuration_row(base::instant now);
