End the child processes of a failed process test

Ruled out: atexit handlers, which an aborted test does not reach either.

Change: children are started with fork and exec and ask the kernel to be ended with the test. This concerns the tests only; the product's programs start no process.

--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -4,15 +4,13 @@
 #include <chrono>
 #include <cstdint>
 #include <fcntl.h>
-#include <spawn.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace magnoliastack::test
 {
 
@@ -25,15 +23,22 @@
     for (const std::string& argument : arguments)
         argv.push_back(const_cast<char*>(argument.c_str()));
     argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    const int failed = posix_spawn(&m_pid, path.c_str(), &actions, nullptr,
-                                   argv.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    if (failed != 0)
+    const int output =
+        open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    const pid_t parent = getpid();
+    m_pid = fork();
+    if (m_pid == 0)
+    {
+        // A failed assertion ends the test without destructors; the child
+        // must not outlive it.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != parent || dup2(output, 1) < 0 || dup2(output, 2) < 0)
+            _exit(127);
+        execv(path.c_str(), argv.data());
+        _exit(127);
+    }
+    close(output);
+    if (m_pid < 0)
         throw std::runtime_error("cannot start " + path);
 }
 
