--- a/lib/logging/logging.cpp
+++ b/lib/logging/logging.cpp
@@ -31,9 +31,9 @@
 
 namespace sinks = boost::log::sinks;
 
-using backend = sinks::text_ostream_backend;
+using text_sink = sinks::text_ostream_backend;
 using queue = sinks::bounded_fifo_queue<4096, sinks::drop_on_overflow>;
-using frontend = sinks::asynchronous_sink<backend, queue>;
+using frontend = sinks::asynchronous_sink<text_sink, queue>;
 
 constexpr std::array<std::string_view, 4> names = {"debug", "info", "warning",
                                                    "error"};
@@ -108,7 +108,7 @@
 {
     MAGNOLIASTACK_INVARIANT(lowest_level == off,
                             "a process has one log at a time");
-    auto writer = boost::make_shared<backend>();
+    auto writer = boost::make_shared<text_sink>();
     auto* target = how.m_target == nullptr ? &std::clog : how.m_target;
     writer->add_stream(
         boost::shared_ptr<std::ostream>(target, boost::null_deleter()));
