--- a/platform/endpoint_address.hpp
+++ b/include/magnoliastack/datagram/address.hpp
@@ -1,6 +1,6 @@
 // Addresses as text, such as 10.1.0.26:8465.
-#ifndef MAGNOLIASTACK_PLATFORM_ENDPOINT_ADDRESS_HPP
-#define MAGNOLIASTACK_PLATFORM_ENDPOINT_ADDRESS_HPP
+#ifndef MAGNOLIASTACK_DATAGRAM_ADDRESS_HPP
+#define MAGNOLIASTACK_DATAGRAM_ADDRESS_HPP
 
 #include "magnoliastack/base/error.hpp"
 
@@ -10,13 +10,13 @@
 
 #include <string>
 
-namespace magnoliastack::platform
+namespace magnoliastack::datagram
 {
 
 // An IPv4 address and a port; `invalid_argument` for any other text.
 base::result<boost::asio::ip::tcp::endpoint>
 parse_address(const std::string& text);
 
-} // namespace magnoliastack::platform
+} // namespace magnoliastack::datagram
 
 #endif
--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -44,7 +44,9 @@
     virtual void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints,
                       base::instant now) = 0;
-    virtual void row_changed(const rpc::fleet_row& row, base::instant now) = 0;
+    // `at` is a time of the store after the change.
+    virtual void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
+                             base::instant now) = 0;
     // All rows up to `version` are known, and there was no newer one at `at`,
     // which the store wrote between `sent` and now.
     virtual void rows_confirmed(rpc::row_version version, rpc::store_instant at,
@@ -73,6 +75,11 @@
     {
         return m_has_endpoints;
     }
+    // True while the fleet's rows are being followed.
+    [[nodiscard]] bool is_reaching_store() const
+    {
+        return m_fleet_version && !m_fleet.m_failing;
+    }
     [[nodiscard]] bool has_fleet() const
     {
         return m_fleet_version.has_value();
--- /dev/null
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -0,0 +1,162 @@
+// This host as a part of the fleet: membership, leadership, reports.
+#ifndef MAGNOLIASTACK_ENTRY_FLEET_SERVICE_HPP
+#define MAGNOLIASTACK_ENTRY_FLEET_SERVICE_HPP
+
+#include "magnoliastack/entry/statement_runner.hpp"
+#include "magnoliastack/fleet/members.hpp"
+#include "magnoliastack/handover/promotion.hpp"
+#include "magnoliastack/lease/currency.hpp"
+#include "magnoliastack/lease/store_clock.hpp"
+#include "magnoliastack/quota/demand_shares.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliastack::entry
+{
+
+// Who the host is in the fleet, and its times.
+struct fleet_options
+{
+    base::host_id m_self;
+    base::incarnation m_incarnation;
+    base::failure_domain_id m_failure_domain;
+    // `ip:port` at which this host takes datagrams.
+    std::string m_address;
+    absl::Duration m_report_interval = absl::Milliseconds(250);
+    // A statement under way at a primary that moves may end within this.
+    absl::Duration m_stop_wait = absl::Milliseconds(300);
+    // Hosts start a promotion one after the other, so that claims do not race.
+    absl::Duration m_turn = absl::Milliseconds(150);
+    absl::Duration m_change_timeout = absl::Milliseconds(800);
+    lease::currency_options m_currency;
+    fleet::member_options m_members;
+    handover::promotion_options m_promotion;
+    handover::assessment_options m_assessment;
+};
+
+// The links that the service uses.
+struct fleet_links
+{
+    const base::clock& m_clock;
+    rpc::fleet_store& m_store;
+    rpc::promotion_link& m_promotions;
+    rpc::datagram_link& m_datagrams;
+    metrics::registry& m_metrics;
+};
+
+// Knows which endpoint leads each group and for how long that may be relied
+// on, and replaces the leader when it is this host's turn.
+class fleet_service final : public primary_source
+{
+public:
+    fleet_service(fleet_options options, fleet_links links,
+                  quota::demand_shares& shares);
+
+    // Set once, before use.
+    void set_runner(statement_runner& runner)
+    {
+        m_runner = &runner;
+    }
+
+    void tick(bool store_reachable, base::instant now);
+
+    void
+    endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints);
+    void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
+                     base::instant now);
+    void rows_confirmed(rpc::row_version newest, rpc::store_instant at,
+                        base::instant sent, base::instant now);
+    void datagram_received(std::string_view bytes);
+
+    // Planned stop: this host relies on nothing any more.
+    void leave(base::instant now);
+
+    [[nodiscard]] const fleet::member_book& members() const
+    {
+        return m_members;
+    }
+
+    [[nodiscard]] std::optional<base::endpoint_id>
+    primary(const base::group_id& group, base::instant now) const override;
+    [[nodiscard]] bool may_continue(const base::group_id& group,
+                                    const base::endpoint_id& endpoint,
+                                    base::instant now) const override;
+
+private:
+    // One group's leadership at this host.
+    struct group_leadership
+    {
+        std::optional<fleet::leadership_row> m_row;
+        rpc::row_version m_version;
+        // The store's time after the row's change, and when it came here.
+        rpc::store_instant m_changed_at;
+        base::instant m_changed;
+        // Newest generation whose predecessor this host uses no more.
+        std::uint64_t m_stopped = 0;
+        std::unique_ptr<handover::promotion> m_promotion;
+        // Since when a replacement has been needed.
+        std::optional<base::instant> m_needed_since;
+    };
+
+    [[nodiscard]] bool is_current(base::instant now) const;
+    [[nodiscard]] std::optional<base::endpoint_id>
+    initial_primary(const base::group_id& group) const;
+    void register_self(base::instant now);
+    void mark_silent(base::instant now);
+    void change_members(rpc::fleet_change change);
+    void stop_moving(const base::group_id& id, group_leadership& group,
+                     base::instant now);
+    void replace_primary(const base::group_id& id, group_leadership& group,
+                         base::instant now);
+    [[nodiscard]] handover::need assess(const base::group_id& id,
+                                        const group_leadership& group,
+                                        base::instant now) const;
+    [[nodiscard]] bool is_own_turn(const group_leadership& group,
+                                   handover::need need,
+                                   base::instant now) const;
+    [[nodiscard]] handover::promotion_inputs inputs(const base::group_id& id,
+                                                    group_leadership& group,
+                                                    base::instant now);
+    [[nodiscard]] bool is_released(const base::group_id& id,
+                                   const group_leadership& group,
+                                   base::instant now) const;
+    [[nodiscard]] bool has_released(const fleet::member& host,
+                                    const base::group_id& id,
+                                    const group_leadership& group,
+                                    base::instant now) const;
+    void carry_out(const base::group_id& id, group_leadership& group,
+                   const std::vector<handover::promotion_action>& actions,
+                   base::instant now);
+    [[nodiscard]] fleet::host_report make_report(base::instant now);
+    void send_reports(base::instant now);
+    void take_covered(const fleet::group_report& report, base::instant now);
+    group_leadership& find(const base::group_id& id);
+
+    fleet_options m_options;
+    fleet_links m_links;
+    quota::demand_shares& m_shares;
+    statement_runner* m_runner = nullptr;
+    logging::logger m_log{"fleet"};
+    lease::store_clock m_store_clock;
+    lease::currency m_currency;
+    fleet::member_book m_members;
+    std::map<base::group_id, group_leadership> m_groups;
+    std::optional<fleet::duty_row> m_duty;
+    rpc::row_version m_duty_version;
+    std::vector<catalogue::endpoint_entry> m_entries;
+    bool m_rows_known = false;
+    bool m_store_reachable = false;
+    bool m_leaving = false;
+    bool m_member_change_running = false;
+    std::uint64_t m_report_number = 0;
+    base::instant m_next_report;
+};
+
+} // namespace magnoliastack::entry
+
+#endif
--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -41,6 +41,8 @@
     // Last message, and the oldest request that has had none since.
     base::instant m_heard;
     std::optional<base::instant> m_waiting_since;
+    // Since when it does not answer; set while it is not serving.
+    base::instant m_failed_since;
     // Next attempt to reach it.
     base::instant m_next_try;
     // Its entry is gone or says that it leaves.
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -3,11 +3,13 @@
 #define MAGNOLIASTACK_ENTRY_HOST_HPP
 
 #include "magnoliastack/entry/fleet_follower.hpp"
+#include "magnoliastack/entry/fleet_service.hpp"
 #include "magnoliastack/entry/session_service.hpp"
 #include "magnoliastack/entry/statement_runner.hpp"
 #include "magnoliastack/quota/demand_shares.hpp"
 
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace magnoliastack::entry
@@ -16,9 +18,7 @@
 // Who the host is.
 struct host_options
 {
-    base::host_id m_self;
-    base::failure_domain_id m_failure_domain;
-    base::incarnation m_incarnation;
+    fleet_options m_fleet;
     runner_options m_runner;
     session_options m_sessions;
     follower_options m_follower;
@@ -39,12 +39,13 @@
     rpc::statement_link& m_endpoints;
     rpc::fleet_store& m_store;
     rpc::promotion_link& m_promotions;
+    rpc::datagram_link& m_datagrams;
     metrics::registry& m_metrics;
 };
 
 // Connects the decisions of sessions, statements, store and leadership. All
 // functions run on the event loop.
-class host final : public primary_source, public follower_events
+class host final : public follower_events
 {
 public:
     host(host_options options, host_links links);
@@ -72,15 +73,19 @@
         return m_runner;
     }
 
-    [[nodiscard]] std::optional<base::endpoint_id>
-    primary(const base::group_id& group, base::instant now) const override;
+    // A datagram of another host.
+    void datagram_received(std::string_view bytes)
+    {
+        m_fleet.datagram_received(bytes);
+    }
 
     void configuration_changed(rpc::configuration_ptr configuration,
                                base::instant now) override;
     void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints,
                       base::instant now) override;
-    void row_changed(const rpc::fleet_row& row, base::instant now) override;
+    void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
+                     base::instant now) override;
     void rows_confirmed(rpc::row_version version, rpc::store_instant at,
                         base::instant sent, base::instant now) override;
 
@@ -93,6 +98,7 @@
     host_links m_links;
     logging::logger m_log{"host"};
     quota::demand_shares m_shares;
+    fleet_service m_fleet;
     session_service m_service;
     statement_runner m_runner;
     fleet_follower m_follower;
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -25,11 +25,14 @@
     base::failure_domain_id m_failure_domain;
     // An endpoint that owes an answer and has sent nothing for this long is
     // suspected; a busy endpoint answers something else meanwhile.
-    absl::Duration m_silence = absl::Milliseconds(400);
+    absl::Duration m_silence = absl::Milliseconds(250);
     // A connection has to open within this.
     absl::Duration m_connect_timeout = absl::Milliseconds(400);
     // Time between attempts to reach an endpoint that does not answer.
     absl::Duration m_retry_interval = absl::Milliseconds(400);
+    // A longer pause between two ticks is the host's own: it says nothing
+    // about endpoints.
+    absl::Duration m_own_pause = absl::Milliseconds(300);
     // Endpoints that one statement tries.
     std::size_t m_largest_tries = 4;
     // Pause before a statement goes to an endpoint that refused it as busy.
@@ -48,8 +51,13 @@
 public:
     virtual ~primary_source() = default;
 
+    // The primary that may take new work.
     [[nodiscard]] virtual std::optional<base::endpoint_id>
     primary(const base::group_id& group, base::instant now) const = 0;
+    // True while a transaction may go on at this endpoint as the primary.
+    [[nodiscard]] virtual bool may_continue(const base::group_id& group,
+                                            const base::endpoint_id& endpoint,
+                                            base::instant now) const = 0;
 };
 
 // How a statement ended.
@@ -129,9 +137,12 @@
         m_own_organisation = organisation;
     }
 
-    // Statements of sessions on the endpoint that have not ended.
+    // Sessions that run a statement or a transaction on the endpoint.
     [[nodiscard]] std::size_t
     in_flight(const base::endpoint_id& endpoint) const;
+    // How long the endpoint has not answered; zero when it answers.
+    [[nodiscard]] absl::Duration
+    unreachable_for(const base::endpoint_id& endpoint, base::instant now) const;
 
     void opened(base::connection_generation connection,
                 std::optional<base::log_point> position) override;
@@ -161,6 +172,9 @@
 
     bool place(session& who, base::instant now);
     void wait(session& who, base::instant now);
+    [[nodiscard]] const endpoint_state*
+    find_endpoint(const base::endpoint_id& endpoint) const;
+    void forgive_pause(base::instant now);
     [[nodiscard]] placement_request requirements(const session& who,
                                                  const group_state& group,
                                                  base::instant now) const;
@@ -227,6 +241,7 @@
     std::map<std::pair<bool, std::string>, std::string> m_prepared_names;
     base::organisation_id m_own_organisation;
     base::connection_generation m_last_connection;
+    std::optional<base::instant> m_last_tick;
 };
 
 } // namespace magnoliastack::entry
--- /dev/null
+++ b/include/magnoliastack/fleet/report.hpp
@@ -0,0 +1,58 @@
+// What a host tells the others.
+#ifndef MAGNOLIASTACK_FLEET_REPORT_HPP
+#define MAGNOLIASTACK_FLEET_REPORT_HPP
+
+#include "magnoliastack/base/error.hpp"
+#include "magnoliastack/base/ids.hpp"
+#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/rpc/fleet_store.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliastack::fleet
+{
+
+// One group as a host sees it.
+struct group_report
+{
+    base::group_id m_group;
+    // The newest replacement of the primary after which this host uses the
+    // one before no more.
+    std::uint64_t m_stopped_generation = 0;
+    // Empty when the host relies on none.
+    base::endpoint_id m_primary;
+    // Covers all commits acknowledged before m_covered_at.
+    base::log_point m_covered;
+    rpc::store_instant m_covered_at;
+    // Zero when the primary answers.
+    absl::Duration m_unreachable;
+};
+
+// One report; the next one replaces it.
+struct host_report
+{
+    base::host_id m_host;
+    base::incarnation m_incarnation;
+    std::uint64_t m_number = 0;
+    bool m_leaving = false;
+    bool m_store_reachable = false;
+    base::configuration_version m_configuration;
+    rpc::row_version m_newest_row;
+    rpc::store_instant m_confirmed_at;
+    quota::demand_report m_demand;
+    std::vector<group_report> m_groups;
+};
+
+// A datagram.
+std::string encode(const host_report& report);
+// `corrupt` when the bytes are no report.
+base::result<host_report> decode_report(std::string_view bytes);
+
+} // namespace magnoliastack::fleet
+
+#endif
--- /dev/null
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -0,0 +1,180 @@
+// The replacement of a group's primary, as one host carries it out.
+#ifndef MAGNOLIASTACK_HANDOVER_PROMOTION_HPP
+#define MAGNOLIASTACK_HANDOVER_PROMOTION_HPP
+
+#include "magnoliastack/base/time.hpp"
+#include "magnoliastack/fleet/rows.hpp"
+#include "magnoliastack/handover/assessment.hpp"
+#include "magnoliastack/rpc/fleet_store.hpp"
+#include "magnoliastack/rpc/opaque_statement.hpp"
+#include "magnoliastack/statechart/chart.hpp"
+
+#include "absl/time/time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace magnoliastack::handover
+{
+
+// Times of a promotion.
+struct promotion_options
+{
+    // How long the duty is held after each claim or renewal.
+    absl::Duration m_tenure = absl::Seconds(4);
+    // A promotion is not sent when the duty ends within this: the call could
+    // take effect under the next holder.
+    absl::Duration m_tenure_margin = absl::Milliseconds(1500);
+    // How long reports of all candidates are waited for once one is there.
+    absl::Duration m_report_wait = absl::Milliseconds(250);
+    // Reports are asked for again after this.
+    absl::Duration m_ask_interval = absl::Milliseconds(150);
+    // How long a planned change waits for a replica to catch up.
+    absl::Duration m_catch_up_wait = absl::Milliseconds(1000);
+    // How long a promoted endpoint may take to lead.
+    absl::Duration m_confirm_wait = absl::Seconds(4);
+    absl::Duration m_change_timeout = absl::Milliseconds(800);
+    absl::Duration m_promote_timeout = absl::Milliseconds(1500);
+};
+
+// Change rows of the fleet; report to change_ended.
+struct change_rows
+{
+    rpc::fleet_change m_change;
+};
+// Ask an endpoint for its state; report to report_received.
+struct ask_report
+{
+    base::endpoint_id m_endpoint;
+};
+// Ask the platform; report to promote_ended.
+struct promote_endpoint
+{
+    base::endpoint_id m_endpoint;
+    std::uint64_t m_token = 0;
+};
+// Have the old primary stop; nothing depends on the answer.
+struct step_down_endpoint
+{
+    base::endpoint_id m_endpoint;
+    base::term m_term;
+};
+using promotion_action =
+    std::variant<change_rows, ask_report, promote_endpoint, step_down_endpoint>;
+
+// What a promotion goes by at a moment.
+struct promotion_inputs
+{
+    need m_need = need::none;
+    // It is this host's turn to start.
+    bool m_may_start = false;
+    std::optional<fleet::leadership_row> m_leadership;
+    rpc::row_version m_leadership_version;
+    std::optional<fleet::duty_row> m_duty;
+    rpc::row_version m_duty_version;
+    // The present primary, or while it moves the one before.
+    base::endpoint_id m_primary;
+    // No host uses the old primary any more.
+    bool m_released = false;
+    // Endpoints that could lead: listed, not leaving, answering.
+    std::vector<base::endpoint_id> m_candidates;
+    // Bounds of the store's time now.
+    rpc::store_instant m_store_earliest;
+    rpc::store_instant m_store_latest;
+};
+
+// Claims the group and the duty in one change of rows, waits until nobody uses
+// the old primary, promotes the replica that has received most, and publishes
+// it. A host that fails meanwhile leaves the group moving; after its tenure
+// another one claims it anew and starts from the endpoints' reports.
+class promotion
+{
+public:
+    promotion(base::group_id group, base::host_id self,
+              base::incarnation incarnation, promotion_options options = {});
+
+    promotion(const promotion&) = delete;
+    promotion& operator=(const promotion&) = delete;
+
+    std::vector<promotion_action> tick(const promotion_inputs& inputs,
+                                       base::instant now);
+    void change_ended(const base::result<rpc::change_outcome>& result,
+                      base::instant now);
+    void report_received(const base::endpoint_id& endpoint,
+                         const rpc::endpoint_report& report, base::instant now);
+    // The value is false when the endpoint does not run.
+    void promote_ended(const base::result<bool>& result, base::instant now);
+
+    [[nodiscard]] bool is_idle() const;
+    [[nodiscard]] const std::string& state() const
+    {
+        return m_machine.state();
+    }
+
+private:
+    using actions = std::vector<promotion_action>;
+
+    struct known_report
+    {
+        rpc::endpoint_report m_report;
+        base::instant m_at;
+    };
+
+    void fire(const char* event, const promotion_inputs& inputs, actions& out,
+              base::instant now);
+    void act(const std::string& action, const promotion_inputs& inputs,
+             actions& out, base::instant now);
+    void tick_idle(const promotion_inputs& inputs, actions& out,
+                   base::instant now);
+    void tick_claiming(const promotion_inputs& inputs, actions& out,
+                       base::instant now);
+    void tick_choosing(const promotion_inputs& inputs, actions& out,
+                       base::instant now);
+    void tick_promoting(const promotion_inputs& inputs, actions& out,
+                        base::instant now);
+    void tick_confirming(const promotion_inputs& inputs, actions& out,
+                         base::instant now);
+    void tick_publishing(const promotion_inputs& inputs, actions& out,
+                         base::instant now);
+    [[nodiscard]] bool may_take_duty(const promotion_inputs& inputs) const;
+    [[nodiscard]] bool holds_duty(const promotion_inputs& inputs,
+                                  absl::Duration margin) const;
+    [[nodiscard]] bool is_own_claim(const promotion_inputs& inputs) const;
+    [[nodiscard]] fleet::duty_row
+    next_duty(const promotion_inputs& inputs) const;
+    void send_claim(const promotion_inputs& inputs, actions& out);
+    void send_publish(const promotion_inputs& inputs, actions& out);
+    void renew(const promotion_inputs& inputs, actions& out);
+    void ask_reports(const promotion_inputs& inputs, actions& out,
+                     base::instant now);
+    [[nodiscard]] std::optional<base::endpoint_id>
+    best_candidate(const promotion_inputs& inputs) const;
+    [[nodiscard]] bool has_caught_up(const base::endpoint_id& candidate,
+                                     const promotion_inputs& inputs) const;
+
+    base::group_id m_group;
+    base::host_id m_self;
+    base::incarnation m_incarnation;
+    promotion_options m_options;
+    statechart::chart m_chart;
+    statechart::machine m_machine;
+    base::instant m_entered;
+    base::instant m_asked;
+    need m_need = need::none;
+    std::uint64_t m_generation = 0;
+    base::endpoint_id m_old;
+    base::endpoint_id m_candidate;
+    base::term m_term;
+    std::map<base::endpoint_id, known_report> m_reports;
+    bool m_change_running = false;
+    std::optional<bool> m_change_applied;
+    bool m_promote_running = false;
+    std::optional<base::result<bool>> m_promote_result;
+};
+
+} // namespace magnoliastack::handover
+
+#endif
--- /dev/null
+++ b/include/magnoliastack/lease/currency.hpp
@@ -0,0 +1,65 @@
+// Until when this host may rely on the fleet's rows as it knows them.
+#ifndef MAGNOLIASTACK_LEASE_CURRENCY_HPP
+#define MAGNOLIASTACK_LEASE_CURRENCY_HPP
+
+#include "magnoliastack/lease/store_clock.hpp"
+#include "magnoliastack/rpc/fleet_store.hpp"
+
+#include "absl/time/time.h"
+
+namespace magnoliastack::lease
+{
+
+// Whoever changes a row that others rely on waits until they have confirmed
+// the change or their reliance has lapsed.
+struct currency_options
+{
+    // How long a confirmation holds. Longer bridges longer outages of the
+    // store, and delays a promotion by as much when a host cannot be asked.
+    absl::Duration m_lease = absl::Seconds(5);
+    // What the changing side waits beyond that: statements under way.
+    absl::Duration m_margin = absl::Milliseconds(400);
+};
+
+// A confirmation says: at this time of the store there was no row newer than
+// this version. It comes from the store, or from a peer that knows the same
+// newest row.
+class currency
+{
+public:
+    explicit currency(currency_options options = {});
+
+    // The store confirmed that all rows up to `newest` are known.
+    void confirmed(rpc::row_version newest, rpc::store_instant at);
+
+    // A peer knows of this confirmation.
+    void peer_confirmed(rpc::row_version newest, rpc::store_instant at);
+
+    // True while the rows may be relied on.
+    [[nodiscard]] bool is_current(const store_clock& clock,
+                                  base::instant now) const;
+
+    // True when nobody relies any more on rows as they were before `change`
+    // without having confirmed it.
+    [[nodiscard]] bool has_lapsed_since(rpc::store_instant change,
+                                        const store_clock& clock,
+                                        base::instant now) const;
+
+    [[nodiscard]] rpc::row_version newest() const
+    {
+        return m_newest;
+    }
+    [[nodiscard]] rpc::store_instant confirmed_at() const
+    {
+        return m_at;
+    }
+
+private:
+    currency_options m_options;
+    rpc::row_version m_newest;
+    rpc::store_instant m_at;
+};
+
+} // namespace magnoliastack::lease
+
+#endif
--- a/include/magnoliastack/rpc/fleet_store.hpp
+++ b/include/magnoliastack/rpc/fleet_store.hpp
@@ -102,6 +102,16 @@
                               callback<change_outcome> done) = 0;
 };
 
+// Sends datagrams to other hosts. A datagram may be lost.
+class datagram_link
+{
+public:
+    virtual ~datagram_link() = default;
+
+    // The address is `ip:port`.
+    virtual void send(const std::string& address, const std::string& bytes) = 0;
+};
+
 // Asks the platform to make an endpoint the primary of its group.
 class promotion_link
 {
--- a/platform/endpoint_address.cpp
+++ b/lib/datagram/address.cpp
@@ -1,8 +1,8 @@
-#include "endpoint_address.hpp"
+#include "magnoliastack/datagram/address.hpp"
 
 #include "absl/strings/numbers.h"
 
-namespace magnoliastack::platform
+namespace magnoliastack::datagram
 {
 
 base::result<boost::asio::ip::tcp::endpoint>
@@ -23,4 +23,4 @@
     return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
-} // namespace magnoliastack::platform
+} // namespace magnoliastack::datagram
--- a/lib/entry/endpoint_pool.cpp
+++ b/lib/entry/endpoint_pool.cpp
@@ -132,7 +132,7 @@
 // what idle hosts leave unused.
 void endpoint_pool::grow(base::instant now)
 {
-    const std::size_t largest = m_share + (m_share + 1) / 2;
+    const std::size_t largest = m_share;
     if (m_limit >= largest ||
         now - m_limit_changed < m_options.m_growth_interval)
         return;
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -168,7 +168,7 @@
     {
         if (row.m_version <= m_newest_row)
             continue;
-        m_events.row_changed(row, now);
+        m_events.row_changed(row, change.m_at, now);
     }
     for (const auto& row : change.m_rows)
         m_newest_row = std::max(m_newest_row, row.m_version);
--- /dev/null
+++ b/lib/entry/fleet_handover.cpp
@@ -0,0 +1,222 @@
+// The host's part in replacing a primary.
+#include "magnoliastack/entry/fleet_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliastack::entry
+{
+
+using fleet::leadership_phase;
+using handover::need;
+
+void fleet_service::replace_primary(const base::group_id& id,
+                                    group_leadership& group, base::instant now)
+{
+    if (!is_current(now))
+        return;
+    const auto given = inputs(id, group, now);
+    const std::string before = group.m_promotion->state();
+    const auto actions = group.m_promotion->tick(given, now);
+    if (group.m_promotion->state() != before)
+        m_log.info("promotion", {{"group", id},
+                                 {"from", before},
+                                 {"to", group.m_promotion->state()},
+                                 {"primary", given.m_primary},
+                                 {"candidates", given.m_candidates.size()}});
+    carry_out(id, group, actions, now);
+}
+
+handover::need fleet_service::assess(const base::group_id& id,
+                                     const group_leadership& group,
+                                     base::instant now) const
+{
+    // A group that somebody has left moving needs a primary.
+    if (group.m_row && group.m_row->m_phase == leadership_phase::moving)
+        return need::failed;
+    handover::primary_condition own;
+    const auto leader = primary(id, now);
+    own.m_absent = !leader;
+    if (leader)
+    {
+        const auto entry = std::find_if(m_entries.begin(), m_entries.end(),
+                                        [&leader](const auto& item)
+                                        {
+                                            return item.m_id == *leader;
+                                        });
+        own.m_leaving = entry == m_entries.end() || entry->m_leaving;
+        own.m_unreachable = m_runner->unreachable_for(*leader, now);
+    }
+    std::vector<absl::Duration> others;
+    for (const auto& host : m_members.live(now))
+    {
+        const fleet::member* item = m_members.find(host);
+        if (host == m_options.m_self || item == nullptr || !item->m_report)
+            continue;
+        for (const auto& report : item->m_report->m_groups)
+            if (report.m_group == id)
+                others.push_back(report.m_unreachable);
+    }
+    return handover::assess(own, others, m_options.m_assessment);
+}
+
+// The live hosts take turns. While one of them holds the duty, the others
+// leave the start to it.
+bool fleet_service::is_own_turn(const group_leadership& group, need /*need*/,
+                                base::instant now) const
+{
+    if (!group.m_needed_since || !m_store_reachable)
+        return false;
+    const auto live = m_members.live(now);
+    const auto place = std::find(live.begin(), live.end(), m_options.m_self);
+    const auto rank = place - live.begin();
+    return now - *group.m_needed_since >=
+           m_options.m_turn * static_cast<double>(rank);
+}
+
+handover::promotion_inputs fleet_service::inputs(const base::group_id& id,
+                                                 group_leadership& group,
+                                                 base::instant now)
+{
+    handover::promotion_inputs given;
+    given.m_need = assess(id, group, now);
+    if (given.m_need == need::none)
+        group.m_needed_since.reset();
+    else if (!group.m_needed_since)
+        group.m_needed_since = now;
+    given.m_may_start = is_own_turn(group, given.m_need, now);
+    given.m_leadership = group.m_row;
+    given.m_leadership_version = group.m_version;
+    given.m_duty = m_duty;
+    given.m_duty_version = m_duty_version;
+    given.m_primary = group.m_row
+                          ? group.m_row->m_primary
+                          : initial_primary(id).value_or(base::endpoint_id());
+    given.m_released = is_released(id, group, now);
+    for (const auto& entry : m_entries)
+    {
+        if (entry.m_group != id || entry.m_leaving ||
+            entry.m_id == given.m_primary)
+            continue;
+        if (m_runner->unreachable_for(entry.m_id, now) == absl::ZeroDuration())
+            given.m_candidates.push_back(entry.m_id);
+    }
+    // The old primary itself, when it is back and nobody else is there.
+    if (given.m_candidates.empty())
+        for (const auto& entry : m_entries)
+            if (entry.m_id == given.m_primary && !entry.m_leaving)
+                given.m_candidates.push_back(entry.m_id);
+    given.m_store_earliest =
+        m_store_clock.earliest(now).value_or(rpc::store_instant());
+    given.m_store_latest =
+        m_store_clock.latest(now).value_or(rpc::store_instant());
+    return given;
+}
+
+bool fleet_service::is_released(const base::group_id& id,
+                                const group_leadership& group,
+                                base::instant now) const
+{
+    if (!group.m_row || group.m_stopped < group.m_row->m_generation)
+        return false;
+    for (const auto& [host, item] : m_members.all())
+        if (host != m_options.m_self && !has_released(item, id, group, now))
+            return false;
+    return true;
+}
+
+// A host has released the old primary when it says so, when it ends, or when
+// it cannot rely on the old row any more.
+bool fleet_service::has_released(const fleet::member& host,
+                                 const base::group_id& id,
+                                 const group_leadership& group,
+                                 base::instant now) const
+{
+    if (m_currency.has_lapsed_since(group.m_changed_at, m_store_clock, now))
+        return true;
+    if (host.m_row.m_out_since &&
+        m_currency.has_lapsed_since(*host.m_row.m_out_since, m_store_clock,
+                                    now))
+        return true;
+    if (!host.m_report)
+        return false;
+    if (host.m_report->m_leaving)
+        return true;
+    for (const auto& report : host.m_report->m_groups)
+        if (report.m_group == id &&
+            report.m_stopped_generation >= group.m_row->m_generation)
+            return true;
+    return false;
+}
+
+void fleet_service::carry_out(
+    const base::group_id& id, group_leadership& group,
+    const std::vector<handover::promotion_action>& actions, base::instant now)
+{
+    for (const auto& action : actions)
+    {
+        if (const auto* change = std::get_if<handover::change_rows>(&action))
+        {
+            m_links.m_metrics.counter("store.calls.leadership").add();
+            m_links.m_store.change_fleet(
+                change->m_change, m_options.m_promotion.m_change_timeout,
+                [this, id](const base::result<rpc::change_outcome>& result)
+                {
+                    if (!result)
+                        m_log.warning("leadership_change_failed",
+                                      {{"group", id},
+                                       {"reason", result.error().m_message}});
+                    find(id).m_promotion->change_ended(result,
+                                                       m_links.m_clock.now());
+                });
+        }
+        else if (const auto* ask = std::get_if<handover::ask_report>(&action))
+        {
+            m_runner->request_report(
+                ask->m_endpoint,
+                [this, id,
+                 endpoint = ask->m_endpoint](const rpc::endpoint_report& report)
+                {
+                    const auto at = m_links.m_clock.now();
+                    m_log.info("endpoint_report",
+                               {{"endpoint", endpoint},
+                                {"primary", report.m_primary},
+                                {"term", report.m_term},
+                                {"position", report.m_received.m_position}});
+                    group_leadership& known = find(id);
+                    known.m_promotion->report_received(endpoint, report, at);
+                    replace_primary(id, known, at);
+                },
+                now);
+        }
+        else if (const auto* promote =
+                     std::get_if<handover::promote_endpoint>(&action))
+        {
+            m_links.m_metrics.counter("promotions.sent").add();
+            m_log.info("promote", {{"group", id},
+                                   {"endpoint", promote->m_endpoint},
+                                   {"token", promote->m_token}});
+            m_links.m_promotions.promote(
+                id, promote->m_endpoint, m_options.m_self, promote->m_token,
+                m_options.m_promotion.m_promote_timeout,
+                [this, id](const base::result<bool>& result)
+                {
+                    const auto at = m_links.m_clock.now();
+                    if (!result)
+                        m_log.warning("promote_failed",
+                                      {{"group", id},
+                                       {"reason", result.error().m_message}});
+                    group_leadership& known = find(id);
+                    known.m_promotion->promote_ended(result, at);
+                    replace_primary(id, known, at);
+                });
+        }
+        else if (const auto* down =
+                     std::get_if<handover::step_down_endpoint>(&action))
+            m_runner->step_down(down->m_endpoint, down->m_term, now);
+    }
+    if (!actions.empty() && group.m_promotion->is_idle())
+        group.m_needed_since.reset();
+}
+
+} // namespace magnoliastack::entry
--- /dev/null
+++ b/lib/entry/fleet_reports.cpp
@@ -0,0 +1,96 @@
+// What hosts tell each other.
+#include "magnoliastack/entry/fleet_service.hpp"
+
+#include <utility>
+
+namespace magnoliastack::entry
+{
+
+fleet::host_report fleet_service::make_report(base::instant now)
+{
+    fleet::host_report report;
+    report.m_host = m_options.m_self;
+    report.m_incarnation = m_options.m_incarnation;
+    report.m_number = ++m_report_number;
+    report.m_leaving = m_leaving;
+    report.m_store_reachable = m_store_reachable;
+    report.m_newest_row = m_currency.newest();
+    report.m_confirmed_at = m_currency.confirmed_at();
+    report.m_demand = m_shares.report(now);
+    for (auto& [id, group] : m_groups)
+    {
+        fleet::group_report item;
+        item.m_group = id;
+        item.m_stopped_generation = group.m_stopped;
+        const auto leader = primary(id, now);
+        if (leader)
+        {
+            item.m_primary = *leader;
+            item.m_unreachable = m_runner->unreachable_for(*leader, now);
+        }
+        const group_state* state = m_runner->find_group(id);
+        const auto newest =
+            state == nullptr ? std::nullopt : state->m_bounds.newest();
+        if (newest)
+        {
+            item.m_covered = newest->m_point;
+            item.m_covered_at = m_store_clock.earliest(newest->m_sent)
+                                    .value_or(rpc::store_instant());
+        }
+        report.m_groups.push_back(std::move(item));
+    }
+    return report;
+}
+
+void fleet_service::send_reports(base::instant now)
+{
+    m_next_report = now + m_options.m_report_interval;
+    const auto targets = m_members.targets();
+    const std::string bytes = fleet::encode(make_report(now));
+    for (const auto& address : targets)
+        m_links.m_datagrams.send(address, bytes);
+    m_links.m_metrics.counter("reports.sent").add(targets.size());
+}
+
+void fleet_service::datagram_received(std::string_view bytes)
+{
+    const auto now = m_links.m_clock.now();
+    auto report = fleet::decode_report(bytes);
+    if (!report)
+    {
+        m_links.m_metrics.counter("reports.unreadable").add();
+        m_log.debug("report_unreadable",
+                    {{"reason", report.error().m_message}});
+        return;
+    }
+    const base::host_id host = report->m_host;
+    if (!m_members.report_received(std::move(*report), now))
+        return;
+    const fleet::host_report& taken = *m_members.find(host)->m_report;
+    if (taken.m_leaving)
+        m_shares.ended(host);
+    else
+        m_shares.reported(host, taken.m_demand);
+    m_currency.peer_confirmed(taken.m_newest_row, taken.m_confirmed_at);
+    for (const auto& group : taken.m_groups)
+        take_covered(group, now);
+    for (auto& [id, group] : m_groups)
+        if (!group.m_promotion->is_idle())
+            replace_primary(id, group, now);
+}
+
+// A peer's observation counts when both use the same primary.
+void fleet_service::take_covered(const fleet::group_report& report,
+                                 base::instant now)
+{
+    group_state* state = m_runner->find_group(report.m_group);
+    if (state == nullptr || report.m_covered_at.value() == 0 ||
+        report.m_primary.empty() ||
+        primary(report.m_group, now) != report.m_primary)
+        return;
+    const auto at = m_store_clock.not_after(report.m_covered_at, now);
+    if (at)
+        state->m_bounds.observed(report.m_covered, *at);
+}
+
+} // namespace magnoliastack::entry
--- /dev/null
+++ b/lib/entry/fleet_service.cpp
@@ -0,0 +1,256 @@
+#include "magnoliastack/entry/fleet_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliastack::entry
+{
+
+using fleet::leadership_phase;
+
+fleet_service::fleet_service(fleet_options options, fleet_links links,
+                             quota::demand_shares& shares)
+    : m_options(std::move(options)), m_links(links), m_shares(shares),
+      m_currency(m_options.m_currency),
+      m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members)
+{
+}
+
+void fleet_service::tick(bool store_reachable, base::instant now)
+{
+    m_store_reachable = store_reachable;
+    if (m_leaving)
+        return;
+    register_self(now);
+    mark_silent(now);
+    for (auto& [id, group] : m_groups)
+    {
+        stop_moving(id, group, now);
+        replace_primary(id, group, now);
+    }
+    if (now >= m_next_report)
+        send_reports(now);
+}
+
+void fleet_service::endpoints_changed(
+    const std::vector<catalogue::endpoint_entry>& endpoints)
+{
+    m_entries = endpoints;
+    for (const auto& entry : endpoints)
+        find(entry.m_group);
+}
+
+void fleet_service::row_changed(const rpc::fleet_row& row,
+                                rpc::store_instant at, base::instant now)
+{
+    const auto member = fleet::decode_member(row);
+    const auto leadership = fleet::decode_leadership(row);
+    const auto duty = fleet::decode_duty(row);
+    if (!member || !leadership || !duty)
+    {
+        m_log.error("row_unreadable",
+                    {{"key", row.m_key}, {"version", row.m_version}});
+        return;
+    }
+    if (*member)
+    {
+        const fleet::member* known = m_members.find((*member)->m_host);
+        if (known != nullptr &&
+            (known->m_row.m_incarnation != (*member)->m_incarnation ||
+             (*member)->m_out_since))
+            m_shares.ended((*member)->m_host);
+        m_members.row_changed(**member, row.m_version, now);
+        m_shares.set_fleet_size(m_members.size());
+        m_log.info("member_changed",
+                   {{"member", (*member)->m_host},
+                    {"incarnation", (*member)->m_incarnation},
+                    {"out", (*member)->m_out_since.has_value()},
+                    {"version", row.m_version}});
+    }
+    if (*duty)
+    {
+        m_duty = **duty;
+        m_duty_version = row.m_version;
+    }
+    if (!*leadership)
+        return;
+    group_leadership& group = find((*leadership)->m_group);
+    group.m_row = **leadership;
+    group.m_version = row.m_version;
+    group.m_changed_at = at;
+    group.m_changed = now;
+    m_log.info("leadership_changed",
+               {{"group", group.m_row->m_group},
+                {"generation", group.m_row->m_generation},
+                {"phase", group.m_row->m_phase == leadership_phase::serving
+                              ? "serving"
+                              : "moving"},
+                {"primary", group.m_row->m_primary},
+                {"term", group.m_row->m_term},
+                {"holder", group.m_row->m_holder},
+                {"version", row.m_version}});
+}
+
+void fleet_service::rows_confirmed(rpc::row_version newest,
+                                   rpc::store_instant at, base::instant sent,
+                                   base::instant now)
+{
+    m_rows_known = true;
+    m_store_clock.answered(at, sent, now);
+    m_currency.confirmed(newest, at);
+    for (auto& [id, group] : m_groups)
+    {
+        if (!group.m_row || group.m_version != newest)
+            continue;
+        stop_moving(id, group, now);
+        replace_primary(id, group, now);
+        if (group.m_row->m_phase != leadership_phase::serving)
+            continue;
+        if (group_state* state = m_runner->find_group(id))
+            state->m_bounds.term_changed(group.m_row->m_term);
+        m_runner->place_waiting(id, now);
+    }
+}
+
+void fleet_service::leave(base::instant now)
+{
+    if (m_leaving)
+        return;
+    m_leaving = true;
+    send_reports(now);
+}
+
+std::optional<base::endpoint_id>
+fleet_service::primary(const base::group_id& id, base::instant now) const
+{
+    const auto found = m_groups.find(id);
+    if (found == m_groups.end() || !is_current(now))
+        return std::nullopt;
+    const auto& row = found->second.m_row;
+    if (!row)
+        return initial_primary(id);
+    if (row->m_phase != leadership_phase::serving)
+        return std::nullopt;
+    return row->m_primary;
+}
+
+bool fleet_service::may_continue(const base::group_id& id,
+                                 const base::endpoint_id& endpoint,
+                                 base::instant now) const
+{
+    if (primary(id, now) == endpoint)
+        return true;
+    const auto found = m_groups.find(id);
+    if (found == m_groups.end() || !is_current(now))
+        return false;
+    const auto& row = found->second.m_row;
+    return row && row->m_phase == leadership_phase::moving &&
+           row->m_primary == endpoint &&
+           found->second.m_stopped < row->m_generation;
+}
+
+bool fleet_service::is_current(base::instant now) const
+{
+    return m_rows_known && !m_leaving && m_members.is_registered() &&
+           m_currency.is_current(m_store_clock, now);
+}
+
+std::optional<base::endpoint_id>
+fleet_service::initial_primary(const base::group_id& group) const
+{
+    std::optional<base::endpoint_id> only;
+    for (const auto& entry : m_entries)
+    {
+        if (entry.m_group != group || !entry.m_primary)
+            continue;
+        if (only)
+            return std::nullopt;
+        only = entry.m_id;
+    }
+    return only;
+}
+
+void fleet_service::register_self(base::instant now)
+{
+    if (!m_rows_known || m_members.is_registered() || m_member_change_running)
+        return;
+    fleet::member_row row;
+    row.m_host = m_options.m_self;
+    row.m_incarnation = m_options.m_incarnation;
+    row.m_address = m_options.m_address;
+    row.m_failure_domain = m_options.m_failure_domain;
+    const auto key = fleet::member_key(m_options.m_self);
+    change_members(
+        {{{key, m_members.own_version()}}, {{key, fleet::encode(row)}}});
+    m_log.info("registering", {{"incarnation", m_options.m_incarnation}});
+    m_next_report = now;
+}
+
+// The first of the live hosts marks the silent ones.
+void fleet_service::mark_silent(base::instant now)
+{
+    const auto live = m_members.live(now);
+    if (!is_current(now) || m_member_change_running || live.empty() ||
+        live.front() != m_options.m_self)
+        return;
+    const auto silent = m_members.silent(now);
+    const auto latest = m_store_clock.latest(now);
+    if (silent.empty() || !latest)
+        return;
+    fleet::member_row row = silent.front()->m_row;
+    row.m_out_since = *latest;
+    const auto key = fleet::member_key(row.m_host);
+    m_log.warning("member_silent", {{"member", row.m_host}});
+    change_members(
+        {{{key, silent.front()->m_version}}, {{key, fleet::encode(row)}}});
+}
+
+void fleet_service::change_members(rpc::fleet_change change)
+{
+    m_member_change_running = true;
+    m_links.m_metrics.counter("store.calls.member").add();
+    m_links.m_store.change_fleet(
+        change, m_options.m_change_timeout,
+        [this](const base::result<rpc::change_outcome>& result)
+        {
+            m_member_change_running = false;
+            if (!result)
+                m_log.warning("member_change_failed",
+                              {{"reason", result.error().m_message}});
+        });
+}
+
+// What runs at a primary that is replaced may end; after a while it is cut
+// off, so that the replacement does not wait for it.
+void fleet_service::stop_moving(const base::group_id& id,
+                                group_leadership& group, base::instant now)
+{
+    if (!group.m_row || group.m_stopped >= group.m_row->m_generation)
+        return;
+    if (group.m_row->m_phase == leadership_phase::moving)
+    {
+        const base::endpoint_id& old = group.m_row->m_primary;
+        if (m_runner->in_flight(old) > 0 &&
+            now - group.m_changed < m_options.m_stop_wait &&
+            m_runner->unreachable_for(old, now) == absl::ZeroDuration())
+            return;
+        group.m_stopped = group.m_row->m_generation;
+        m_runner->drop_connections(old, now);
+    }
+    group.m_stopped = group.m_row->m_generation;
+    m_log.info("primary_released",
+               {{"group", id}, {"generation", group.m_stopped}});
+    send_reports(now);
+}
+
+fleet_service::group_leadership& fleet_service::find(const base::group_id& id)
+{
+    group_leadership& group = m_groups[id];
+    if (!group.m_promotion)
+        group.m_promotion = std::make_unique<handover::promotion>(
+            id, m_options.m_self, m_options.m_incarnation,
+            m_options.m_promotion);
+    return group;
+}
+
+} // namespace magnoliastack::entry
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -9,28 +9,37 @@
 host::host(host_options options, host_links links)
     : m_options(std::move(options)), m_links(links),
       m_shares(m_options.m_demand),
+      m_fleet(m_options.m_fleet,
+              {links.m_clock, links.m_store, links.m_promotions,
+               links.m_datagrams, links.m_metrics},
+              m_shares),
       m_service(m_options.m_sessions, links.m_sessions, m_shares,
                 links.m_metrics, links.m_clock),
-      m_runner(m_options.m_runner, links.m_endpoints, *this, m_service,
+      m_runner(m_options.m_runner, links.m_endpoints, m_fleet, m_service,
                links.m_metrics, links.m_clock),
       m_follower(m_options.m_follower, links.m_store, *this, links.m_metrics,
                  links.m_clock)
 {
     m_service.set_runner(m_runner);
+    m_fleet.set_runner(m_runner);
 }
 
 void host::tick()
 {
     const auto now = m_links.m_clock.now();
     m_follower.tick(now);
-    m_shares.report(now);
     m_runner.tick(now);
+    m_fleet.tick(m_follower.is_reaching_store(), now);
     m_service.tick(now);
     if (!m_draining_since)
         return;
     const auto draining = now - *m_draining_since;
     if (draining >= m_options.m_drain_abort)
+    {
         m_service.abort_transactions(now);
+        if (m_service.session_count() == 0)
+            m_fleet.leave(now);
+    }
     else if (draining >= m_options.m_drain_close_idle)
         m_service.close_idle(now);
 }
@@ -59,15 +68,6 @@
             m_service.session_count() == 0);
 }
 
-std::optional<base::endpoint_id> host::primary(const base::group_id& group,
-                                               base::instant /*now*/) const
-{
-    for (const auto& entry : m_entries)
-        if (entry.m_group == group && entry.m_primary)
-            return entry.m_id;
-    return std::nullopt;
-}
-
 void host::configuration_changed(rpc::configuration_ptr configuration,
                                  base::instant now)
 {
@@ -87,16 +87,19 @@
 {
     m_entries = endpoints;
     apply_endpoints(now);
+    m_fleet.endpoints_changed(endpoints);
 }
 
-void host::row_changed(const rpc::fleet_row& /*row*/, base::instant /*now*/)
+void host::row_changed(const rpc::fleet_row& row, rpc::store_instant at,
+                       base::instant now)
 {
+    m_fleet.row_changed(row, at, now);
 }
 
-void host::rows_confirmed(rpc::row_version /*version*/,
-                          rpc::store_instant /*at*/, base::instant /*sent*/,
-                          base::instant /*now*/)
+void host::rows_confirmed(rpc::row_version version, rpc::store_instant at,
+                          base::instant sent, base::instant now)
 {
+    m_fleet.rows_confirmed(version, at, sent, now);
 }
 
 void host::apply_endpoints(base::instant now)
@@ -110,7 +113,7 @@
     const auto& configuration = m_service.configuration();
     if (!configuration)
         return shares;
-    constexpr std::size_t hosts = 8;
+    const std::size_t hosts = m_fleet.members().size();
     for (const auto& [id, group] : configuration->m_groups)
         shares[id] = std::max<std::size_t>(1, group.m_max_connections / hosts);
     return shares;
--- a/lib/entry/placement.cpp
+++ b/lib/entry/placement.cpp
@@ -6,7 +6,7 @@
 {
 
 // What a new connection costs: 12 ms of a slot, and the wait for it.
-constexpr absl::Duration connect_cost = absl::Milliseconds(14);
+constexpr absl::Duration connect_cost = absl::Milliseconds(40);
 // Two more crossings between failure domains, 0.5 ms each way.
 constexpr absl::Duration remote_cost = absl::Milliseconds(1);
 // Reads weigh the primary's time by this factor, because writes and the reads
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -307,9 +307,13 @@
         return;
     endpoint_state* endpoint = find_endpoint(item->m_endpoint);
     const bool was_open = item->m_open;
-    connection_lost(*item, now);
     if (endpoint != nullptr && (refused || !was_open))
         endpoint_failed(*endpoint, refused ? "refused" : "closed", now);
+    connection_lost(*item, now);
+    // A connection that ends by itself may be the first sign of a crash.
+    if (endpoint != nullptr && was_open && endpoint->m_listed &&
+        endpoint->m_health == endpoint_health::serving)
+        probe(*endpoint, now);
 }
 
 void statement_runner::connection_lost(connection& item, base::instant now)
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -2,6 +2,7 @@
 #include "magnoliastack/entry/statement_runner.hpp"
 
 #include <set>
+#include <utility>
 
 namespace magnoliastack::entry
 {
@@ -9,6 +10,20 @@
 using rpc::endpoint_request;
 using rpc::statement_error;
 
+namespace
+{
+
+// True while a connection opens or a request has no answer.
+bool owes_answer(endpoint_state& endpoint)
+{
+    for (const connection* item : endpoint.m_pool.all())
+        if (!item->m_open || !item->m_awaited.empty())
+            return true;
+    return false;
+}
+
+} // namespace
+
 void statement_runner::set_endpoints(
     const std::vector<catalogue::endpoint_entry>& entries,
     const std::map<base::group_id, std::size_t>& shares, base::instant now)
@@ -89,16 +104,40 @@
 
 std::size_t statement_runner::in_flight(const base::endpoint_id& id) const
 {
-    const auto group = m_group_of.find(id);
-    if (group == m_group_of.end())
-        return 0;
-    const auto& endpoints = m_groups.at(group->second).m_endpoints;
-    const auto found = endpoints.find(id);
-    return found == endpoints.end() ? 0 : found->second.m_pool.busy();
+    std::size_t count = 0;
+    for (const auto& [number, item] : m_connections)
+        if (item->m_endpoint == id && item->m_owner)
+            ++count;
+    return count;
+}
+
+absl::Duration statement_runner::unreachable_for(const base::endpoint_id& id,
+                                                 base::instant now) const
+{
+    const endpoint_state* endpoint = find_endpoint(id);
+    if (endpoint == nullptr || endpoint->m_health == endpoint_health::serving)
+        return absl::ZeroDuration();
+    return now - endpoint->m_failed_since;
+}
+
+void statement_runner::forgive_pause(base::instant now)
+{
+    const auto last = std::exchange(m_last_tick, now);
+    if (!last || now - *last < m_options.m_own_pause)
+        return;
+    m_log.warning("own_pause", {{"length", now - *last}});
+    for (auto& [id, group] : m_groups)
+        for (auto& [endpoint_id, endpoint] : group.m_endpoints)
+        {
+            if (endpoint.m_waiting_since)
+                endpoint.m_waiting_since = now;
+            endpoint.m_failed_since = now;
+        }
 }
 
 void statement_runner::tick(base::instant now)
 {
+    forgive_pause(now);
     check_running(now);
     for (auto& [id, group] : m_groups)
     {
@@ -154,6 +193,8 @@
 void statement_runner::check_silence(endpoint_state& endpoint,
                                      base::instant now)
 {
+    if (!owes_answer(endpoint))
+        endpoint.m_waiting_since.reset();
     if (endpoint.m_health != endpoint_health::serving)
     {
         if (now >= endpoint.m_next_try && endpoint.m_listed)
@@ -163,6 +204,7 @@
              now - *endpoint.m_waiting_since >= m_options.m_silence)
     {
         endpoint.m_health = endpoint_health::suspect;
+        endpoint.m_failed_since = *endpoint.m_waiting_since;
         m_log.warning("endpoint_suspect",
                       {{"endpoint", endpoint.m_entry.m_id},
                        {"silent_for", now - *endpoint.m_waiting_since}});
@@ -191,6 +233,8 @@
 {
     if (endpoint.m_health != endpoint_health::unreachable)
     {
+        if (endpoint.m_health == endpoint_health::serving)
+            endpoint.m_failed_since = endpoint.m_waiting_since.value_or(now);
         endpoint.m_health = endpoint_health::unreachable;
         m_metrics.counter("endpoints.unreachable").add();
         m_log.warning("endpoint_unreachable",
@@ -204,9 +248,8 @@
 {
     endpoint.m_heard = now;
     endpoint.m_waiting_since.reset();
-    for (const connection* item : endpoint.m_pool.all())
-        if (!item->m_open || !item->m_awaited.empty())
-            endpoint.m_waiting_since = now;
+    if (owes_answer(endpoint))
+        endpoint.m_waiting_since = now;
     if (endpoint.m_health == endpoint_health::serving)
         return;
     endpoint.m_health = endpoint_health::serving;
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -60,6 +60,13 @@
         return;
     }
     what.m_connection = pinned->m_number;
+    if (what.m_primary_only &&
+        !m_primaries.may_continue(who.m_route.m_group, pinned->m_endpoint, now))
+    {
+        m_metrics.counter("transactions.primary_moved").add();
+        connection_lost(*pinned, now);
+        return;
+    }
     start(who, *pinned, now);
 }
 
@@ -427,6 +434,17 @@
     return found == endpoints.end() ? nullptr : &found->second;
 }
 
+const endpoint_state*
+statement_runner::find_endpoint(const base::endpoint_id& endpoint) const
+{
+    const auto group = m_group_of.find(endpoint);
+    if (group == m_group_of.end())
+        return nullptr;
+    const auto& endpoints = m_groups.at(group->second).m_endpoints;
+    const auto found = endpoints.find(endpoint);
+    return found == endpoints.end() ? nullptr : &found->second;
+}
+
 connection* statement_runner::find(base::connection_generation number)
 {
     const auto found = m_connections.find(number);
--- /dev/null
+++ b/lib/fleet/report.cpp
@@ -0,0 +1,129 @@
+#include "magnoliastack/fleet/report.hpp"
+
+#include "magnoliastack/fleet.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace magnoliastack::fleet
+{
+namespace
+{
+
+// A datagram holds far less; more means a damaged or hostile one.
+constexpr std::uint64_t traversal_limit_words = 1U << 16;
+constexpr double milli = 1000;
+
+std::string text(capnp::Text::Reader value)
+{
+    return {value.cStr(), value.size()};
+}
+
+void write_group(wire::GroupReport::Builder to, const group_report& from)
+{
+    to.setGroup(from.m_group.str());
+    to.setStoppedGeneration(from.m_stopped_generation);
+    to.setPrimary(from.m_primary.str());
+    to.setTerm(from.m_covered.m_term.value());
+    to.setPosition(from.m_covered.m_position.value());
+    to.setCoveredAt(from.m_covered_at.value());
+    to.setUnreachableMs(static_cast<std::uint32_t>(
+        absl::ToInt64Milliseconds(from.m_unreachable)));
+}
+
+group_report read_group(wire::GroupReport::Reader from)
+{
+    group_report to;
+    to.m_group = base::group_id(text(from.getGroup()));
+    to.m_stopped_generation = from.getStoppedGeneration();
+    to.m_primary = base::endpoint_id(text(from.getPrimary()));
+    to.m_covered = {base::term(from.getTerm()),
+                    base::log_position(from.getPosition())};
+    to.m_covered_at = rpc::store_instant(from.getCoveredAt());
+    to.m_unreachable = absl::Milliseconds(from.getUnreachableMs());
+    return to;
+}
+
+host_report read(wire::Report::Reader from)
+{
+    host_report to;
+    to.m_host = base::host_id(text(from.getHost()));
+    to.m_incarnation = base::incarnation(from.getIncarnation());
+    to.m_number = from.getNumber();
+    to.m_leaving = from.getLeaving();
+    to.m_store_reachable = from.getStoreReachable();
+    to.m_configuration =
+        base::configuration_version(from.getConfigurationVersion());
+    to.m_newest_row = rpc::row_version(from.getNewestRow());
+    to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
+    for (const auto item : from.getDemands())
+        to.m_demand.emplace_back(
+            base::organisation_id(text(item.getOrganisation())),
+            item.getMilliRate() / milli);
+    for (const auto item : from.getGroups())
+        to.m_groups.push_back(read_group(item));
+    return to;
+}
+
+} // namespace
+
+std::string encode(const host_report& report)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Report>();
+    root.setHost(report.m_host.str());
+    root.setIncarnation(report.m_incarnation.value());
+    root.setNumber(report.m_number);
+    root.setLeaving(report.m_leaving);
+    root.setStoreReachable(report.m_store_reachable);
+    root.setConfigurationVersion(report.m_configuration.value());
+    root.setNewestRow(report.m_newest_row.value());
+    root.setConfirmedAt(report.m_confirmed_at.value());
+    auto demands =
+        root.initDemands(static_cast<unsigned>(report.m_demand.size()));
+    unsigned index = 0;
+    for (const auto& [who, rate] : report.m_demand)
+    {
+        auto item = demands[index++];
+        item.setOrganisation(who.str());
+        item.setMilliRate(
+            static_cast<std::uint32_t>(std::lround(rate * milli)));
+    }
+    auto groups =
+        root.initGroups(static_cast<unsigned>(report.m_groups.size()));
+    index = 0;
+    for (const auto& group : report.m_groups)
+        write_group(groups[index++], group);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+base::result<host_report> decode_report(std::string_view bytes)
+{
+    host_report result;
+    // Cap'n Proto reports damaged input by exceptions; they end here.
+    const auto problem = kj::runCatchingExceptions(
+        [&]
+        {
+            kj::ArrayInputStream in(
+                {reinterpret_cast<const kj::byte*>(bytes.data()),
+                 bytes.size()});
+            capnp::ReaderOptions limits;
+            limits.traversalLimitInWords = traversal_limit_words;
+            capnp::PackedMessageReader message(in, limits);
+            result = read(message.getRoot<wire::Report>());
+        });
+    KJ_IF_MAYBE (what, problem)
+        return base::fail(base::error_code::corrupt,
+                          what->getDescription().cStr());
+    return result;
+}
+
+} // namespace magnoliastack::fleet
--- /dev/null
+++ b/lib/handover/promotion.cpp
@@ -0,0 +1,392 @@
+#include "magnoliastack/handover/promotion.hpp"
+
+#include "magnoliastack/base/invariant.hpp"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace magnoliastack::statechart::embedded
+{
+extern const std::string_view promotion;
+} // namespace magnoliastack::statechart::embedded
+
+namespace magnoliastack::handover
+{
+namespace
+{
+
+statechart::chart load_chart()
+{
+    auto loaded = statechart::load(
+        statechart::embedded::promotion,
+        {"needed", "claimed", "released", "chosen", "promoted", "refused",
+         "unanswered", "confirmed", "unconfirmed", "published", "abandoned"});
+    MAGNOLIASTACK_INVARIANT(loaded.has_value(),
+                            "the embedded promotion chart is well formed");
+    return *std::move(loaded);
+}
+
+std::uint64_t milliseconds(absl::Duration span)
+{
+    return static_cast<std::uint64_t>(absl::ToInt64Milliseconds(span));
+}
+
+// Newer term first, then longer log.
+bool is_ahead(const rpc::endpoint_report& one,
+              const rpc::endpoint_report& other)
+{
+    if (one.m_primary != other.m_primary)
+        return one.m_primary;
+    if (one.m_primary)
+        return one.m_term > other.m_term;
+    return one.m_received > other.m_received;
+}
+
+} // namespace
+
+promotion::promotion(base::group_id group, base::host_id self,
+                     base::incarnation incarnation, promotion_options options)
+    : m_group(std::move(group)), m_self(std::move(self)),
+      m_incarnation(incarnation), m_options(options), m_chart(load_chart()),
+      m_machine(m_chart)
+{
+}
+
+bool promotion::is_idle() const
+{
+    return m_machine.state() == "idle";
+}
+
+std::vector<promotion_action> promotion::tick(const promotion_inputs& inputs,
+                                              base::instant now)
+{
+    actions out;
+    const std::string state = m_machine.state();
+    if (state == "idle")
+    {
+        tick_idle(inputs, out, now);
+        return out;
+    }
+    if (state == "claiming")
+    {
+        tick_claiming(inputs, out, now);
+        return out;
+    }
+    // From here on the claim has to stay this host's own.
+    if (state != "publishing" &&
+        (!is_own_claim(inputs) || !holds_duty(inputs, absl::ZeroDuration())))
+    {
+        fire("abandoned", inputs, out, now);
+        return out;
+    }
+    renew(inputs, out);
+    if (state == "releasing" && inputs.m_released)
+        fire("released", inputs, out, now);
+    else if (state == "choosing")
+        tick_choosing(inputs, out, now);
+    else if (state == "promoting")
+        tick_promoting(inputs, out, now);
+    else if (state == "confirming")
+        tick_confirming(inputs, out, now);
+    else if (state == "publishing")
+        tick_publishing(inputs, out, now);
+    return out;
+}
+
+void promotion::tick_idle(const promotion_inputs& inputs, actions& out,
+                          base::instant now)
+{
+    if (inputs.m_need == need::none || !inputs.m_may_start ||
+        m_change_running || !may_take_duty(inputs))
+        return;
+    m_need = inputs.m_need;
+    fire("needed", inputs, out, now);
+}
+
+// The claim counts when its row comes back, whatever the answer said.
+void promotion::tick_claiming(const promotion_inputs& inputs, actions& out,
+                              base::instant now)
+{
+    if (is_own_claim(inputs) &&
+        inputs.m_leadership->m_generation == m_generation)
+        fire("claimed", inputs, out, now);
+    else if (m_change_applied == false ||
+             now - m_entered > 2 * m_options.m_change_timeout)
+        fire("abandoned", inputs, out, now);
+}
+
+void promotion::tick_choosing(const promotion_inputs& inputs, actions& out,
+                              base::instant now)
+{
+    ask_reports(inputs, out, now);
+    const auto best = best_candidate(inputs);
+    if (!best)
+        return;
+    const bool all_known =
+        std::all_of(inputs.m_candidates.begin(), inputs.m_candidates.end(),
+                    [this](const base::endpoint_id& id)
+                    {
+                        return m_reports.contains(id);
+                    });
+    if (!all_known && now - m_entered < m_options.m_report_wait)
+        return;
+    if (m_need == need::planned && !has_caught_up(*best, inputs) &&
+        now - m_entered < m_options.m_catch_up_wait)
+        return;
+    if (!holds_duty(inputs, m_options.m_tenure_margin))
+        return;
+    m_candidate = *best;
+    fire("chosen", inputs, out, now);
+}
+
+void promotion::tick_promoting(const promotion_inputs& inputs, actions& out,
+                               base::instant now)
+{
+    if (!m_promote_result)
+        return;
+    const auto result = *std::exchange(m_promote_result, std::nullopt);
+    if (!result)
+    {
+        if (holds_duty(inputs, m_options.m_tenure_margin))
+            fire("unanswered", inputs, out, now);
+        else
+            m_promote_result = result;
+    }
+    else if (*result)
+        fire("promoted", inputs, out, now);
+    else
+        fire("refused", inputs, out, now);
+}
+
+void promotion::tick_confirming(const promotion_inputs& inputs, actions& out,
+                                base::instant now)
+{
+    const auto found = m_reports.find(m_candidate);
+    if (found != m_reports.end() && found->second.m_at >= m_entered &&
+        found->second.m_report.m_primary)
+    {
+        m_term = found->second.m_report.m_term;
+        fire("confirmed", inputs, out, now);
+        return;
+    }
+    if (now - m_entered > m_options.m_confirm_wait)
+    {
+        m_reports.erase(m_candidate);
+        fire("unconfirmed", inputs, out, now);
+        return;
+    }
+    if (now - m_asked < m_options.m_ask_interval)
+        return;
+    m_asked = now;
+    out.emplace_back(ask_report{m_candidate});
+}
+
+void promotion::tick_publishing(const promotion_inputs& inputs, actions& out,
+                                base::instant now)
+{
+    const auto& row = inputs.m_leadership;
+    if (row && row->m_generation == m_generation &&
+        row->m_phase == fleet::leadership_phase::serving)
+        fire("published", inputs, out, now);
+    else if (!is_own_claim(inputs))
+        fire("abandoned", inputs, out, now);
+    else if (!m_change_running)
+        fire("unanswered", inputs, out, now);
+}
+
+void promotion::change_ended(const base::result<rpc::change_outcome>& result,
+                             base::instant /*now*/)
+{
+    m_change_running = false;
+    if (result)
+        m_change_applied = result->m_applied;
+    else if (result.error().m_code != base::error_code::deadline_exceeded)
+        m_change_applied = false;
+}
+
+void promotion::report_received(const base::endpoint_id& endpoint,
+                                const rpc::endpoint_report& report,
+                                base::instant now)
+{
+    m_reports[endpoint] = {report, now};
+}
+
+void promotion::promote_ended(const base::result<bool>& result,
+                              base::instant /*now*/)
+{
+    if (std::exchange(m_promote_running, false))
+        m_promote_result = result;
+}
+
+void promotion::fire(const char* event, const promotion_inputs& inputs,
+                     actions& out, base::instant now)
+{
+    const auto taken = m_machine.fire(event);
+    MAGNOLIASTACK_INVARIANT(taken.has_value(),
+                            "the promotion chart allows the event");
+    m_entered = now;
+    for (const auto& action : *taken)
+        act(action, inputs, out, now);
+}
+
+void promotion::act(const std::string& action, const promotion_inputs& inputs,
+                    actions& out, base::instant now)
+{
+    if (action == "send_claim")
+        send_claim(inputs, out);
+    else if (action == "ask_reports")
+    {
+        m_asked = {};
+        m_reports.clear();
+        ask_reports(inputs, out, now);
+    }
+    else if (action == "send_promote")
+    {
+        m_promote_running = true;
+        m_promote_result.reset();
+        out.emplace_back(promote_endpoint{m_candidate, inputs.m_duty->m_token});
+    }
+    else if (action == "ask_candidate")
+        m_asked = {};
+    else if (action == "send_step_down")
+    {
+        if (!m_old.empty() && m_old != m_candidate)
+            out.emplace_back(step_down_endpoint{m_old, m_term});
+    }
+    else if (action == "send_publish")
+        send_publish(inputs, out);
+}
+
+bool promotion::may_take_duty(const promotion_inputs& inputs) const
+{
+    if (!inputs.m_duty || (inputs.m_duty->m_holder == m_self &&
+                           inputs.m_duty->m_incarnation == m_incarnation))
+        return true;
+    return inputs.m_store_earliest > inputs.m_duty->m_until;
+}
+
+bool promotion::holds_duty(const promotion_inputs& inputs,
+                           absl::Duration margin) const
+{
+    return inputs.m_duty && inputs.m_duty->m_holder == m_self &&
+           inputs.m_duty->m_incarnation == m_incarnation &&
+           inputs.m_store_latest.value() + milliseconds(margin) <
+               inputs.m_duty->m_until.value();
+}
+
+bool promotion::is_own_claim(const promotion_inputs& inputs) const
+{
+    return inputs.m_leadership &&
+           inputs.m_leadership->m_phase == fleet::leadership_phase::moving &&
+           inputs.m_leadership->m_holder == m_self &&
+           inputs.m_leadership->m_generation == m_generation;
+}
+
+fleet::duty_row promotion::next_duty(const promotion_inputs& inputs) const
+{
+    fleet::duty_row duty;
+    duty.m_holder = m_self;
+    duty.m_incarnation = m_incarnation;
+    duty.m_token = 1;
+    if (inputs.m_duty)
+    {
+        const bool same = inputs.m_duty->m_holder == m_self &&
+                          inputs.m_duty->m_incarnation == m_incarnation;
+        duty.m_token = inputs.m_duty->m_token + (same ? 0 : 1);
+    }
+    duty.m_until = rpc::store_instant(inputs.m_store_latest.value() +
+                                      milliseconds(m_options.m_tenure));
+    return duty;
+}
+
+void promotion::send_claim(const promotion_inputs& inputs, actions& out)
+{
+    fleet::leadership_row row;
+    row.m_group = m_group;
+    row.m_generation =
+        inputs.m_leadership ? inputs.m_leadership->m_generation + 1 : 1;
+    row.m_phase = fleet::leadership_phase::moving;
+    row.m_primary = inputs.m_primary;
+    row.m_term =
+        inputs.m_leadership ? inputs.m_leadership->m_term : base::term();
+    row.m_holder = m_self;
+    m_generation = row.m_generation;
+    m_old = inputs.m_primary;
+    m_change_running = true;
+    m_change_applied.reset();
+    out.emplace_back(change_rows{
+        {{{fleet::duty_key, inputs.m_duty_version},
+          {fleet::leadership_key(m_group), inputs.m_leadership_version}},
+         {{fleet::duty_key, fleet::encode(next_duty(inputs))},
+          {fleet::leadership_key(m_group), fleet::encode(row)}}}});
+}
+
+void promotion::send_publish(const promotion_inputs& inputs, actions& out)
+{
+    fleet::leadership_row row = *inputs.m_leadership;
+    row.m_phase = fleet::leadership_phase::serving;
+    row.m_primary = m_candidate;
+    row.m_term = m_term;
+    m_change_running = true;
+    out.emplace_back(change_rows{
+        {{{fleet::leadership_key(m_group), inputs.m_leadership_version}},
+         {{fleet::leadership_key(m_group), fleet::encode(row)}}}});
+}
+
+void promotion::renew(const promotion_inputs& inputs, actions& out)
+{
+    if (m_change_running || holds_duty(inputs, m_options.m_tenure / 2) ||
+        !holds_duty(inputs, absl::ZeroDuration()))
+        return;
+    m_change_running = true;
+    out.emplace_back(
+        change_rows{{{{fleet::duty_key, inputs.m_duty_version}},
+                     {{fleet::duty_key, fleet::encode(next_duty(inputs))}}}});
+}
+
+void promotion::ask_reports(const promotion_inputs& inputs, actions& out,
+                            base::instant now)
+{
+    if (now - m_asked < m_options.m_ask_interval)
+        return;
+    m_asked = now;
+    // Once nobody writes, one report of each is enough.
+    for (const auto& id : inputs.m_candidates)
+        if (!m_reports.contains(id) || !inputs.m_released ||
+            m_need == need::planned)
+            out.emplace_back(ask_report{id});
+    if (m_need == need::planned && !m_old.empty())
+        out.emplace_back(ask_report{m_old});
+}
+
+std::optional<base::endpoint_id>
+promotion::best_candidate(const promotion_inputs& inputs) const
+{
+    std::optional<base::endpoint_id> best;
+    const rpc::endpoint_report* best_report = nullptr;
+    for (const auto& id : inputs.m_candidates)
+    {
+        const auto found = m_reports.find(id);
+        if (found == m_reports.end())
+            continue;
+        if (best_report != nullptr &&
+            !is_ahead(found->second.m_report, *best_report))
+            continue;
+        best = id;
+        best_report = &found->second.m_report;
+    }
+    return best;
+}
+
+bool promotion::has_caught_up(const base::endpoint_id& candidate,
+                              const promotion_inputs& /*inputs*/) const
+{
+    const auto old = m_reports.find(m_old);
+    if (old == m_reports.end())
+        return false;
+    return m_reports.at(candidate).m_report.m_received >=
+           old->second.m_report.m_received;
+}
+
+} // namespace magnoliastack::handover
--- a/utils/generate.sh
+++ b/utils/generate.sh
@@ -9,5 +9,8 @@
     --grpc_out=generated \
     --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
     magnoliastack/v1/*.proto
-capnp compile -I /usr/include -oc++:generated magnoliastack/peer.capnp
-mv generated/magnoliastack/peer.capnp.c++ generated/magnoliastack/peer.capnp.cpp
+for schema in peer fleet; do
+    capnp compile -I /usr/include -oc++:generated "magnoliastack/$schema.capnp"
+    mv "generated/magnoliastack/$schema.capnp.c++" \
+        "generated/magnoliastack/$schema.capnp.cpp"
+done
