Lend tokens of an organisation's rate between hosts

Two causes: a bucket whose share was only set at an operation accrued nothing after 200 ms, and eight buckets of a small organisation hold three tokens each, which chance empties.

Change: buckets are refreshed at each tick; demand is averaged over 4 s; a host without a token asks the host that told the most, which takes the tokens out of its bucket before it answers, and the operation waits up to 40 ms.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -49,9 +49,39 @@
     metrics::registry& m_metrics;
 };
 
+// Where tokens of an organisation's rate come from when the host has none.
+class token_source
+{
+public:
+    virtual ~token_source() = default;
+
+    // Asks the host that is likely to have some; false when none is. The
+    // answer comes to token_receiver.
+    virtual bool request_tokens(const base::organisation_id& who,
+                                std::uint32_t amount) = 0;
+};
+
+// Takes part in the movement of tokens.
+class token_receiver
+{
+public:
+    virtual ~token_receiver() = default;
+
+    // Another host asks; returns the tokens that were taken out for it.
+    virtual std::uint32_t lend_tokens(const base::organisation_id& who,
+                                      std::uint32_t amount,
+                                      base::instant now) = 0;
+    // Tokens to be spent at once.
+    virtual void tokens_granted(const base::organisation_id& who,
+                                std::uint32_t amount, base::instant now) = 0;
+    // Whole tokens at hand, to tell the others.
+    [[nodiscard]] virtual std::uint32_t tokens(const base::organisation_id& who,
+                                               base::instant now) const = 0;
+};
+
 // Knows which endpoint leads each group and for how long that may be relied
 // on, and replaces the leader when it is this host's turn.
-class fleet_service final : public primary_source
+class fleet_service final : public primary_source, public token_source
 {
 public:
     fleet_service(fleet_options options, fleet_links links,
@@ -62,6 +92,10 @@
     {
         m_runner = &runner;
     }
+    void set_tokens(token_receiver& tokens)
+    {
+        m_tokens = &tokens;
+    }
 
     void tick(bool store_reachable, base::instant now);
 
@@ -81,6 +115,9 @@
         return m_members;
     }
 
+    bool request_tokens(const base::organisation_id& who,
+                        std::uint32_t amount) override;
+
     [[nodiscard]] std::optional<base::endpoint_id>
     primary(const base::group_id& group, base::instant now) const override;
     [[nodiscard]] bool may_continue(const base::group_id& group,
@@ -134,6 +171,11 @@
                    base::instant now);
     [[nodiscard]] fleet::host_report make_report(base::instant now);
     void send_reports(base::instant now);
+    void take_report(fleet::host_report report, base::instant now);
+    void take_request(const fleet::token_transfer& request, base::instant now);
+    void take_grant(const fleet::token_transfer& grant, base::instant now);
+    [[nodiscard]] fleet::token_transfer
+    transfer(const base::organisation_id& who, std::uint32_t amount) const;
     void take_covered(const fleet::group_report& report, base::instant now);
     group_leadership& find(const base::group_id& id);
 
@@ -141,6 +183,7 @@
     fleet_links m_links;
     quota::demand_shares& m_shares;
     statement_runner* m_runner = nullptr;
+    token_receiver* m_tokens = nullptr;
     logging::logger m_log{"fleet"};
     lease::store_clock m_store_clock;
     lease::currency m_currency;
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -88,6 +88,8 @@
     base::group_id m_own_group;
     std::deque<rpc::opaque_statement> m_inbox;
     std::optional<work> m_work;
+    // Its next operation waits for a token.
+    bool m_awaits_token = false;
     base::instant m_last_activity;
 };
 
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -2,14 +2,16 @@
 #ifndef MAGNOLIASTACK_ENTRY_SESSION_SERVICE_HPP
 #define MAGNOLIASTACK_ENTRY_SESSION_SERVICE_HPP
 
-#include "magnoliastack/admission/token_bucket.hpp"
+#include "magnoliastack/entry/fleet_service.hpp"
 #include "magnoliastack/entry/statement_runner.hpp"
 #include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/token_gate.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
 
 #include "absl/container/flat_hash_map.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,9 +22,8 @@
 // Limits of the service.
 struct session_options
 {
-    // Part of an organisation's rate that is given out; the rest is for the
-    // moments in which the hosts' shares overlap.
-    double m_rate_part = 0.97;
+    // How long an operation waits for a token of another host.
+    absl::Duration m_token_wait = absl::Milliseconds(40);
     // Statements that one session may have waiting.
     std::size_t m_largest_inbox = 64;
     // Sessions of this host; the rest is refused at once.
@@ -30,7 +31,9 @@
 };
 
 // Answers what needs no endpoint by itself and gives the rest to the runner.
-class session_service final : public rpc::session_events, public runner_events
+class session_service final : public rpc::session_events,
+                              public runner_events,
+                              public token_receiver
 {
 public:
     session_service(session_options options, rpc::session_link& link,
@@ -43,6 +46,12 @@
         m_runner = &runner;
     }
 
+    // Where tokens can be borrowed; set once, before use.
+    void set_token_source(token_source& source)
+    {
+        m_token_source = &source;
+    }
+
     // Takes a newer configuration. Open transactions keep the old routes.
     void set_configuration(rpc::configuration_ptr configuration);
     [[nodiscard]] const rpc::configuration_ptr& configuration() const
@@ -73,7 +82,21 @@
                        base::instant now) override;
     void transaction_lost(session& who, base::instant now) override;
 
+    std::uint32_t lend_tokens(const base::organisation_id& who,
+                              std::uint32_t amount, base::instant now) override;
+    void tokens_granted(const base::organisation_id& who, std::uint32_t amount,
+                        base::instant now) override;
+    [[nodiscard]] std::uint32_t tokens(const base::organisation_id& who,
+                                       base::instant now) const override;
+
 private:
+    // An operation that waits for a token.
+    struct token_waiter
+    {
+        rpc::session_number m_session;
+        rpc::opaque_statement m_statement;
+        base::instant m_until;
+    };
     // Outcome of the check whether an operation may begin.
     struct admission_result
     {
@@ -93,8 +116,12 @@
     bool serve_locally(session& who, const rpc::opaque_statement& what);
     void run(session& who, rpc::opaque_statement what, base::instant now);
     [[nodiscard]] admission_result identify(session& who) const;
-    admission_result admit(session& who, base::instant now);
-    bool take_token(const base::organisation_id& who, base::instant now);
+    void start(session& who, rpc::opaque_statement what, base::instant now);
+    void wait_for_token(session& who, rpc::opaque_statement what,
+                        base::instant now);
+    void refuse_waiting(const base::organisation_id& who, base::instant now);
+    void admit_waiting(const base::organisation_id& who, std::uint32_t amount,
+                       base::instant now);
     void refuse(session& who, const rpc::opaque_statement& what,
                 const admission_result& why);
     void answer(session& who, std::optional<rpc::statement_error> error,
@@ -111,7 +138,9 @@
     rpc::configuration_ptr m_configuration;
     absl::flat_hash_map<rpc::session_number, std::unique_ptr<session>>
         m_sessions;
-    std::map<base::organisation_id, admission::token_bucket> m_buckets;
+    quota::token_gate m_gate;
+    token_source* m_token_source = nullptr;
+    std::map<base::organisation_id, std::deque<token_waiter>> m_token_waiters;
 };
 
 } // namespace magnoliastack::entry
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace magnoliastack::fleet
@@ -48,10 +49,31 @@
     std::vector<group_report> m_groups;
 };
 
-// A datagram.
-std::string encode(const host_report& report);
-// `corrupt` when the bytes are no report.
-base::result<host_report> decode_report(std::string_view bytes);
+// Tokens of an organisation's rate on their way between two hosts.
+struct token_transfer
+{
+    // The sender.
+    base::host_id m_host;
+    base::incarnation m_incarnation;
+    base::organisation_id m_organisation;
+    std::uint32_t m_amount = 0;
+};
+// The sender has run out and asks for tokens.
+struct token_request
+{
+    token_transfer m_tokens;
+};
+// The sender has taken the tokens out of its own.
+struct token_grant
+{
+    token_transfer m_tokens;
+};
+
+using datagram = std::variant<host_report, token_request, token_grant>;
+
+std::string encode(const datagram& what);
+// `corrupt` when the bytes are no datagram.
+base::result<datagram> decode(std::string_view bytes);
 
 } // namespace magnoliastack::fleet
 
--- a/include/magnoliastack/quota/demand_shares.hpp
+++ b/include/magnoliastack/quota/demand_shares.hpp
@@ -8,7 +8,9 @@
 #include "absl/time/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -19,18 +21,28 @@
 // How shares follow demand.
 struct demand_options
 {
-    // Time constant of the measured demand.
-    absl::Duration m_average = absl::Seconds(1);
+    // Time constant of the measured demand. A small organisation asks a host
+    // for some operations a second; a shorter average mistakes chance for
+    // demand, and shares that follow it add up to less than the rate.
+    absl::Duration m_average = absl::Seconds(4);
     // A risen demand of the own counts only after all hosts had time to hear
     // of it and to lower their shares: two reports.
     absl::Duration m_settle = absl::Milliseconds(600);
     // Part of the rate that is divided evenly, so that a host which had no
     // demand so far can serve a first operation.
-    double m_even_part = 0.15;
+    double m_even_part = 0.25;
 };
 
-// Operations a second that a host wants to run for an organisation.
-using demand_report = std::vector<std::pair<base::organisation_id, double>>;
+// One organisation at one host.
+struct demand
+{
+    base::organisation_id m_organisation;
+    // Operations a second that the host is asked for.
+    double m_rate = 0;
+    // Operations that it could admit at once.
+    std::uint32_t m_tokens = 0;
+};
+using demand_report = std::vector<demand>;
 
 // Every host tells all others its demand, and each takes the part of the rate
 // that its demand has in the sum. A fall of demand counts at once, a rise only
@@ -54,6 +66,13 @@
     // The host's process has ended.
     void ended(const base::host_id& host);
 
+    // The host with the most tokens, by what it last told, or none when no
+    // host has more than one.
+    [[nodiscard]] std::optional<base::host_id>
+    richest(const base::organisation_id& who) const;
+    // A host had no token to lend.
+    void had_none(const base::host_id& host, const base::organisation_id& who);
+
     // All hosts of the fleet, this one included.
     void set_fleet_size(std::size_t hosts);
 
@@ -67,19 +86,22 @@
         // Operations a second, decayed since m_updated.
         double m_rate = 0;
         base::instant m_updated;
+        base::instant m_started;
         // Values told, with the instants from which they count.
         std::vector<std::pair<base::instant, double>> m_told;
     };
 
     [[nodiscard]] double rate_at(const own_demand& item,
                                  base::instant now) const;
+    [[nodiscard]] double corrected(const own_demand& item,
+                                   base::instant now) const;
     [[nodiscard]] double settled(const own_demand& item,
                                  base::instant now) const;
 
     demand_options m_options;
     std::size_t m_fleet_size = 1;
     std::map<base::organisation_id, own_demand> m_own;
-    std::map<base::host_id, std::map<base::organisation_id, double>> m_others;
+    std::map<base::host_id, std::map<base::organisation_id, demand>> m_others;
 };
 
 } // namespace magnoliastack::quota
--- /dev/null
+++ b/include/magnoliastack/quota/token_gate.hpp
@@ -0,0 +1,63 @@
+// Admits operations within this host's part of an organisation's rate.
+#ifndef MAGNOLIASTACK_QUOTA_TOKEN_GATE_HPP
+#define MAGNOLIASTACK_QUOTA_TOKEN_GATE_HPP
+
+#include "magnoliastack/admission/token_bucket.hpp"
+#include "magnoliastack/catalogue/configuration.hpp"
+#include "magnoliastack/quota/demand_shares.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace magnoliastack::quota
+{
+
+// How much of the limits is given out.
+struct gate_options
+{
+    // The rest is for the moments in which the hosts' shares overlap.
+    double m_rate_part = 0.97;
+    // A share holds at least until it is applied again.
+    absl::Duration m_validity = absl::Milliseconds(200);
+};
+
+// One token bucket for each organisation. Tokens move to hosts that run out: a
+// lender takes them out of its bucket before it tells, and the borrower spends
+// them at once, so they are never counted twice.
+class token_gate
+{
+public:
+    token_gate(demand_shares& shares, gate_options options = {});
+
+    // False when there is no token; an organisation without limits has always
+    // one.
+    bool try_take(const catalogue::configuration& limits,
+                  const base::organisation_id& who, base::instant now);
+
+    // Applies the present shares. Call it more often than the validity: a
+    // bucket gains nothing on a share that has lapsed.
+    void refresh(const catalogue::configuration& limits, base::instant now);
+
+    // Takes tokens out for another host and returns how many.
+    std::uint32_t lend(const catalogue::configuration& limits,
+                       const base::organisation_id& who, std::uint32_t amount,
+                       base::instant now);
+
+    // Whole tokens in the bucket.
+    [[nodiscard]] std::uint32_t tokens(const base::organisation_id& who,
+                                       base::instant now) const;
+
+private:
+    // Null without limits.
+    admission::token_bucket* bucket(const catalogue::configuration& limits,
+                                    const base::organisation_id& who,
+                                    base::instant now);
+
+    demand_shares& m_shares;
+    gate_options m_options;
+    std::map<base::organisation_id, admission::token_bucket> m_buckets;
+};
+
+} // namespace magnoliastack::quota
+
+#endif
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -17,6 +17,8 @@
     report.m_newest_row = m_currency.newest();
     report.m_confirmed_at = m_currency.confirmed_at();
     report.m_demand = m_shares.report(now);
+    for (auto& item : report.m_demand)
+        item.m_tokens = m_tokens->tokens(item.m_organisation, now);
     for (auto& [id, group] : m_groups)
     {
         fleet::group_report item;
@@ -55,16 +57,26 @@
 void fleet_service::datagram_received(std::string_view bytes)
 {
     const auto now = m_links.m_clock.now();
-    auto report = fleet::decode_report(bytes);
-    if (!report)
+    auto what = fleet::decode(bytes);
+    if (!what)
     {
         m_links.m_metrics.counter("reports.unreadable").add();
-        m_log.debug("report_unreadable",
-                    {{"reason", report.error().m_message}});
+        m_log.debug("datagram_unreadable",
+                    {{"reason", what.error().m_message}});
         return;
     }
-    const base::host_id host = report->m_host;
-    if (!m_members.report_received(std::move(*report), now))
+    if (auto* report = std::get_if<fleet::host_report>(&*what))
+        take_report(std::move(*report), now);
+    else if (const auto* request = std::get_if<fleet::token_request>(&*what))
+        take_request(request->m_tokens, now);
+    else if (const auto* grant = std::get_if<fleet::token_grant>(&*what))
+        take_grant(grant->m_tokens, now);
+}
+
+void fleet_service::take_report(fleet::host_report report, base::instant now)
+{
+    const base::host_id host = report.m_host;
+    if (!m_members.report_received(std::move(report), now))
         return;
     const fleet::host_report& taken = *m_members.find(host)->m_report;
     if (taken.m_leaving)
@@ -79,6 +91,49 @@
             replace_primary(id, group, now);
 }
 
+bool fleet_service::request_tokens(const base::organisation_id& who,
+                                   std::uint32_t amount)
+{
+    const auto lender = m_shares.richest(who);
+    const fleet::member* to = lender ? m_members.find(*lender) : nullptr;
+    if (to == nullptr)
+        return false;
+    m_links.m_metrics.counter("tokens.asked").add(amount);
+    m_links.m_datagrams.send(
+        to->m_row.m_address,
+        fleet::encode(fleet::token_request{transfer(who, amount)}));
+    return true;
+}
+
+void fleet_service::take_request(const fleet::token_transfer& request,
+                                 base::instant now)
+{
+    const fleet::member* from = m_members.find(request.m_host);
+    if (from == nullptr || m_leaving ||
+        from->m_row.m_incarnation != request.m_incarnation)
+        return;
+    const auto lent =
+        m_tokens->lend_tokens(request.m_organisation, request.m_amount, now);
+    m_links.m_metrics.counter("tokens.lent").add(lent);
+    m_links.m_datagrams.send(from->m_row.m_address,
+                             fleet::encode(fleet::token_grant{
+                                 transfer(request.m_organisation, lent)}));
+}
+
+void fleet_service::take_grant(const fleet::token_transfer& grant,
+                               base::instant now)
+{
+    if (grant.m_amount == 0)
+        m_shares.had_none(grant.m_host, grant.m_organisation);
+    m_tokens->tokens_granted(grant.m_organisation, grant.m_amount, now);
+}
+
+fleet::token_transfer fleet_service::transfer(const base::organisation_id& who,
+                                              std::uint32_t amount) const
+{
+    return {m_options.m_self, m_options.m_incarnation, who, amount};
+}
+
 // A peer's observation counts when both use the same primary.
 void fleet_service::take_covered(const fleet::group_report& report,
                                  base::instant now)
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -21,7 +21,9 @@
                  links.m_clock)
 {
     m_service.set_runner(m_runner);
+    m_service.set_token_source(m_fleet);
     m_fleet.set_runner(m_runner);
+    m_fleet.set_tokens(m_service);
 }
 
 void host::tick()
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -35,7 +35,7 @@
                                  metrics::registry& metrics,
                                  const base::clock& clock)
     : m_options(options), m_link(link), m_shares(shares), m_metrics(metrics),
-      m_clock(clock)
+      m_clock(clock), m_gate(shares)
 {
 }
 
@@ -119,7 +119,7 @@
     {
         const auto found = m_sessions.find(number);
         if (found == m_sessions.end() || found->second->m_work ||
-            found->second->m_inbox.empty())
+            found->second->m_awaits_token || found->second->m_inbox.empty())
             return;
         session& present = *found->second;
         auto what = std::move(present.m_inbox.front());
@@ -186,12 +186,22 @@
         answer(who, statement_error::malformed, "no transaction is open");
         return;
     }
-    const auto admitted = admit(who, now);
-    if (admitted.m_error)
+    const auto checked = identify(who);
+    if (checked.m_error)
     {
-        refuse(who, what, admitted);
+        refuse(who, what, checked);
         return;
     }
+    m_shares.arrived(who.m_organisation, now);
+    if (m_gate.try_take(*m_configuration, who.m_organisation, now))
+        start(who, std::move(what), now);
+    else
+        wait_for_token(who, std::move(what), now);
+}
+
+void session_service::start(session& who, rpc::opaque_statement what,
+                            base::instant now)
+{
     who.m_wrote = false;
     who.m_lost = false;
     if (what.m_kind == statement_kind::begin ||
@@ -292,37 +302,6 @@
     return {};
 }
 
-session_service::admission_result session_service::admit(session& who,
-                                                         base::instant now)
-{
-    auto checked = identify(who);
-    if (checked.m_error)
-        return checked;
-    m_shares.arrived(who.m_organisation, now);
-    if (!take_token(who.m_organisation, now))
-        return {statement_error::busy, "the organisation's rate is used up",
-                false};
-    return {};
-}
-
-bool session_service::take_token(const base::organisation_id& who,
-                                 base::instant now)
-{
-    const auto limits = m_configuration->m_organisations.find(who);
-    if (limits == m_configuration->m_organisations.end())
-        return true;
-    const double share = m_shares.share(who, now);
-    const double rate = limits->second.m_rate * m_options.m_rate_part;
-    const double burst =
-        std::max(1.0, limits->second.m_burst * m_options.m_rate_part * share);
-    admission::token_bucket& bucket = m_buckets[who];
-    bucket.set_share(
-        rate, burst,
-        static_cast<std::uint64_t>(share * admission::whole_fraction),
-        now + absl::Milliseconds(200), now);
-    return bucket.try_take(now);
-}
-
 void session_service::refuse(session& who, const rpc::opaque_statement& what,
                              const admission_result& why)
 {
@@ -404,6 +383,13 @@
 {
     if (!m_configuration)
         return;
+    m_gate.refresh(*m_configuration, now);
+    for (auto& [who, waiting] : m_token_waiters)
+    {
+        admit_waiting(who, 0, now);
+        if (!waiting.empty() && now >= waiting.front().m_until)
+            refuse_waiting(who, now);
+    }
     const absl::Duration limit = m_configuration->m_idle_transaction;
     if (limit <= absl::ZeroDuration())
         return;
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -62,20 +62,16 @@
     to.m_newest_row = rpc::row_version(from.getNewestRow());
     to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
     for (const auto item : from.getDemands())
-        to.m_demand.emplace_back(
-            base::organisation_id(text(item.getOrganisation())),
-            item.getMilliRate() / milli);
+        to.m_demand.push_back(
+            {base::organisation_id(text(item.getOrganisation())),
+             item.getMilliRate() / milli, item.getTokens()});
     for (const auto item : from.getGroups())
         to.m_groups.push_back(read_group(item));
     return to;
 }
 
-} // namespace
-
-std::string encode(const host_report& report)
+void write(wire::Report::Builder root, const host_report& report)
 {
-    capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<wire::Report>();
     root.setHost(report.m_host.str());
     root.setIncarnation(report.m_incarnation.value());
     root.setNumber(report.m_number);
@@ -87,27 +83,60 @@
     auto demands =
         root.initDemands(static_cast<unsigned>(report.m_demand.size()));
     unsigned index = 0;
-    for (const auto& [who, rate] : report.m_demand)
+    for (const auto& from : report.m_demand)
     {
         auto item = demands[index++];
-        item.setOrganisation(who.str());
+        item.setOrganisation(from.m_organisation.str());
+        item.setTokens(from.m_tokens);
         item.setMilliRate(
-            static_cast<std::uint32_t>(std::lround(rate * milli)));
+            static_cast<std::uint32_t>(std::lround(from.m_rate * milli)));
     }
     auto groups =
         root.initGroups(static_cast<unsigned>(report.m_groups.size()));
     index = 0;
     for (const auto& group : report.m_groups)
         write_group(groups[index++], group);
+}
+
+void write(wire::Tokens::Builder to, const token_transfer& from)
+{
+    to.setHost(from.m_host.str());
+    to.setIncarnation(from.m_incarnation.value());
+    to.setOrganisation(from.m_organisation.str());
+    to.setAmount(from.m_amount);
+}
+
+token_transfer read(wire::Tokens::Reader from)
+{
+    token_transfer to;
+    to.m_host = base::host_id(text(from.getHost()));
+    to.m_incarnation = base::incarnation(from.getIncarnation());
+    to.m_organisation = base::organisation_id(text(from.getOrganisation()));
+    to.m_amount = from.getAmount();
+    return to;
+}
+
+} // namespace
+
+std::string encode(const datagram& what)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::Datagram>();
+    if (const auto* report = std::get_if<host_report>(&what))
+        write(root.initReport(), *report);
+    else if (const auto* request = std::get_if<token_request>(&what))
+        write(root.initTokenRequest(), request->m_tokens);
+    else if (const auto* grant = std::get_if<token_grant>(&what))
+        write(root.initTokenGrant(), grant->m_tokens);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
     return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
-base::result<host_report> decode_report(std::string_view bytes)
+base::result<datagram> decode(std::string_view bytes)
 {
-    host_report result;
+    datagram result;
     // Cap'n Proto reports damaged input by exceptions; they end here.
     const auto problem = kj::runCatchingExceptions(
         [&]
@@ -118,7 +147,13 @@
             capnp::ReaderOptions limits;
             limits.traversalLimitInWords = traversal_limit_words;
             capnp::PackedMessageReader message(in, limits);
-            result = read(message.getRoot<wire::Report>());
+            const auto root = message.getRoot<wire::Datagram>();
+            if (root.isTokenRequest())
+                result = token_request{read(root.getTokenRequest())};
+            else if (root.isTokenGrant())
+                result = token_grant{read(root.getTokenGrant())};
+            else
+                result = read(root.getReport());
         });
     KJ_IF_MAYBE (what, problem)
         return base::fail(base::error_code::corrupt,
--- a/lib/quota/demand_shares.cpp
+++ b/lib/quota/demand_shares.cpp
@@ -10,6 +10,8 @@
 
 // Demand below this is told as none and forgotten.
 constexpr double least_rate = 0.05;
+// Seconds that the first operation of an organisation stands for.
+constexpr double shortest_measurement = 0.5;
 
 } // namespace
 
@@ -19,7 +21,10 @@
 
 void demand_shares::arrived(const base::organisation_id& who, base::instant now)
 {
-    own_demand& item = m_own[who];
+    const auto [found, added] = m_own.try_emplace(who);
+    own_demand& item = found->second;
+    if (added)
+        item.m_started = now;
     item.m_rate =
         rate_at(item, now) + 1 / absl::ToDoubleSeconds(m_options.m_average);
     item.m_updated = now;
@@ -30,7 +35,7 @@
     demand_report result;
     for (auto& [who, item] : m_own)
     {
-        double rate = rate_at(item, now);
+        double rate = corrected(item, now);
         if (rate < least_rate)
             rate = 0;
         auto& told = item.m_told;
@@ -43,7 +48,7 @@
                                            });
         if (counting != told.rend())
             told.erase(told.begin(), std::prev(counting.base()));
-        result.emplace_back(who, rate);
+        result.push_back({who, rate, 0});
     }
     return result;
 }
@@ -53,8 +58,8 @@
 {
     auto& known = m_others[host];
     known.clear();
-    for (const auto& [who, rate] : demand)
-        known[who] = rate;
+    for (const auto& item : demand)
+        known[item.m_organisation] = item;
 }
 
 void demand_shares::ended(const base::host_id& host)
@@ -62,6 +67,34 @@
     m_others.erase(host);
 }
 
+std::optional<base::host_id>
+demand_shares::richest(const base::organisation_id& who) const
+{
+    std::optional<base::host_id> best;
+    // A host needs a token of its own.
+    std::uint32_t most = 1;
+    for (const auto& [host, demand] : m_others)
+    {
+        const auto found = demand.find(who);
+        if (found == demand.end() || found->second.m_tokens <= most)
+            continue;
+        most = found->second.m_tokens;
+        best = host;
+    }
+    return best;
+}
+
+void demand_shares::had_none(const base::host_id& host,
+                             const base::organisation_id& who)
+{
+    const auto known = m_others.find(host);
+    if (known == m_others.end())
+        return;
+    const auto found = known->second.find(who);
+    if (found != known->second.end())
+        found->second.m_tokens = 0;
+}
+
 void demand_shares::set_fleet_size(std::size_t hosts)
 {
     m_fleet_size = std::max<std::size_t>(hosts, 1);
@@ -83,7 +116,7 @@
     {
         const auto found = demand.find(who);
         if (found != demand.end())
-            others += found->second;
+            others += found->second.m_rate;
     }
     if (mine <= 0)
         return even;
@@ -97,6 +130,17 @@
            std::exp(-age / absl::ToDoubleSeconds(m_options.m_average));
 }
 
+// Corrects the average for the time before the first operation, in which
+// nothing was measured.
+double demand_shares::corrected(const own_demand& item, base::instant now) const
+{
+    const double measured =
+        absl::ToDoubleSeconds(now - item.m_started) + shortest_measurement;
+    const double part =
+        1 - std::exp(-measured / absl::ToDoubleSeconds(m_options.m_average));
+    return rate_at(item, now) / part;
+}
+
 // The lowest value told since the one that counts: a fall counts at once.
 double demand_shares::settled(const own_demand& item, base::instant now) const
 {
--- /dev/null
+++ b/lib/quota/token_gate.cpp
@@ -0,0 +1,69 @@
+#include "magnoliastack/quota/token_gate.hpp"
+
+#include <algorithm>
+
+namespace magnoliastack::quota
+{
+
+token_gate::token_gate(demand_shares& shares, gate_options options)
+    : m_shares(shares), m_options(options)
+{
+}
+
+bool token_gate::try_take(const catalogue::configuration& limits,
+                          const base::organisation_id& who, base::instant now)
+{
+    admission::token_bucket* from = bucket(limits, who, now);
+    return from == nullptr || from->try_take(now);
+}
+
+void token_gate::refresh(const catalogue::configuration& limits,
+                         base::instant now)
+{
+    for (const auto& [who, organisation] : limits.m_organisations)
+        bucket(limits, who, now);
+}
+
+std::uint32_t token_gate::lend(const catalogue::configuration& limits,
+                               const base::organisation_id& who,
+                               std::uint32_t amount, base::instant now)
+{
+    admission::token_bucket* from = bucket(limits, who, now);
+    if (from == nullptr)
+        return amount;
+    std::uint32_t lent = 0;
+    // One token stays for the next operation of the own callers.
+    while (lent < amount && from->tokens(now) >= 2 && from->try_take(now))
+        ++lent;
+    return lent;
+}
+
+std::uint32_t token_gate::tokens(const base::organisation_id& who,
+                                 base::instant now) const
+{
+    const auto found = m_buckets.find(who);
+    if (found == m_buckets.end())
+        return 0;
+    return static_cast<std::uint32_t>(found->second.tokens(now));
+}
+
+admission::token_bucket*
+token_gate::bucket(const catalogue::configuration& limits,
+                   const base::organisation_id& who, base::instant now)
+{
+    const auto found = limits.m_organisations.find(who);
+    if (found == limits.m_organisations.end())
+        return nullptr;
+    const double share = m_shares.share(who, now);
+    const double rate = found->second.m_rate * m_options.m_rate_part;
+    const double capacity =
+        std::max(1.0, found->second.m_burst * m_options.m_rate_part * share);
+    admission::token_bucket& item = m_buckets[who];
+    item.set_share(
+        rate, capacity,
+        static_cast<std::uint64_t>(share * admission::whole_fraction),
+        now + m_options.m_validity, now);
+    return &item;
+}
+
+} // namespace magnoliastack::quota
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -9,6 +9,24 @@
   organisation @0 :Text;
   # Operations a second, in thousandths.
   milliRate @1 :UInt32;
+  # Operations that the host could admit at once.
+  tokens @2 :UInt32;
+}
+
+# Tokens of an organisation's rate, asked for or lent.
+struct Tokens {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  organisation @2 :Text;
+  amount @3 :UInt32;
+}
+
+struct Datagram {
+  union {
+    report @0 :Report;
+    tokenRequest @1 :Tokens;
+    tokenGrant @2 :Tokens;
+  }
 }
 
 struct GroupReport {
