--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -139,6 +139,8 @@
                          base::instant now);
     void tick_publishing(const promotion_inputs& inputs, actions& out,
                          base::instant now);
+    [[nodiscard]] bool leads(const rpc::endpoint_report& report,
+                             const promotion_inputs& inputs) const;
     [[nodiscard]] bool may_take_duty(const promotion_inputs& inputs) const;
     [[nodiscard]] bool holds_duty(const promotion_inputs& inputs,
                                   absl::Duration margin) const;
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -32,14 +32,15 @@
     return static_cast<std::uint64_t>(absl::ToInt64Milliseconds(span));
 }
 
-// Newer term first, then longer log.
-bool is_ahead(const rpc::endpoint_report& one,
-              const rpc::endpoint_report& other)
+// The newest term first: what an endpoint of an older term holds or calls
+// itself counts for nothing. Within a term its leader, whose log is the one
+// that the others follow; without it the longest log.
+bool is_ahead(const rpc::endpoint_report& one, const rpc::endpoint_report& other)
 {
+    if (one.m_term != other.m_term)
+        return one.m_term > other.m_term;
     if (one.m_primary != other.m_primary)
         return one.m_primary;
-    if (one.m_primary)
-        return one.m_term > other.m_term;
     return one.m_received > other.m_received;
 }
 
@@ -164,7 +165,7 @@
 {
     const auto found = m_reports.find(m_candidate);
     if (found != m_reports.end() && found->second.m_at >= m_entered &&
-        found->second.m_report.m_primary)
+        leads(found->second.m_report, inputs))
     {
         m_term = found->second.m_report.m_term;
         fire("confirmed", inputs, out, now);
@@ -182,6 +183,15 @@
     out.emplace_back(ask_report{m_candidate});
 }
 
+// An old primary calls itself primary too; only a newer term shows that the
+// promotion has taken effect. The present primary keeps its term.
+bool promotion::leads(const rpc::endpoint_report& report,
+                      const promotion_inputs& inputs) const
+{
+    return report.m_primary && (report.m_term > inputs.m_leadership->m_term ||
+                                m_candidate == m_old);
+}
+
 void promotion::tick_publishing(const promotion_inputs& inputs, actions& out,
                                 base::instant now)
 {
--- /dev/null
+++ b/unittests/handover/promotion_test.cpp
@@ -0,0 +1,262 @@
+#include "magnoliastack/handover/assessment.hpp"
+#include "magnoliastack/handover/promotion.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace magnoliastack::handover;
+namespace base = magnoliastack::base;
+namespace fleet = magnoliastack::fleet;
+namespace rpc = magnoliastack::rpc;
+
+namespace
+{
+
+const base::endpoint_id old_primary("old");
+const base::endpoint_id first("first");
+const base::endpoint_id second("second");
+
+// One host's promotion against a store that applies every change at once.
+struct promotion_fixture
+{
+    promotion m_promotion{base::group_id("g"), base::host_id("self"),
+                          base::incarnation(7)};
+    promotion_inputs m_inputs;
+    base::instant m_now = base::instant() + absl::Seconds(100);
+    std::vector<promotion_action> m_actions;
+
+    promotion_fixture()
+    {
+        m_inputs.m_need = need::failed;
+        m_inputs.m_may_start = true;
+        m_inputs.m_primary = old_primary;
+        m_inputs.m_candidates = {first, second};
+        m_inputs.m_store_earliest = rpc::store_instant(1000);
+        m_inputs.m_store_latest = rpc::store_instant(1000);
+    }
+
+    void step(absl::Duration by = absl::Milliseconds(50))
+    {
+        m_now = m_now + by;
+        const auto ms =
+            static_cast<std::uint64_t>(absl::ToInt64Milliseconds(by));
+        m_inputs.m_store_earliest =
+            rpc::store_instant(m_inputs.m_store_earliest.value() + ms);
+        m_inputs.m_store_latest =
+            rpc::store_instant(m_inputs.m_store_latest.value() + ms);
+        m_actions = m_promotion.tick(m_inputs, m_now);
+    }
+
+    template <typename Action>
+    std::optional<Action> sent() const
+    {
+        for (const auto& action : m_actions)
+            if (const auto* found = std::get_if<Action>(&action))
+                return *found;
+        return std::nullopt;
+    }
+
+    // Stores the rows of the last change.
+    void apply()
+    {
+        const auto change = sent<change_rows>();
+        cr_assert(change.has_value(), "a change of rows was expected");
+        for (const auto& [key, value] : change->m_change.m_writes)
+        {
+            const rpc::fleet_row row{key, value, rpc::row_version(++m_version)};
+            if (const auto duty = fleet::decode_duty(row); *duty)
+            {
+                m_inputs.m_duty = **duty;
+                m_inputs.m_duty_version = row.m_version;
+            }
+            if (const auto leader = fleet::decode_leadership(row); *leader)
+            {
+                m_inputs.m_leadership = **leader;
+                m_inputs.m_leadership_version = row.m_version;
+            }
+        }
+        rpc::change_outcome outcome;
+        outcome.m_applied = true;
+        m_promotion.change_ended(outcome, m_now);
+    }
+
+    void report(const base::endpoint_id& endpoint, bool is_primary,
+                std::uint64_t term, std::uint64_t log_term,
+                std::uint64_t position)
+    {
+        rpc::endpoint_report answer;
+        answer.m_primary = is_primary;
+        answer.m_term = base::term(term);
+        answer.m_received = {base::term(log_term),
+                             base::log_position(position)};
+        m_promotion.report_received(endpoint, answer, m_now);
+    }
+
+    // Brings the promotion to the choice of a candidate.
+    void reach_choice()
+    {
+        step();
+        apply();
+        step();
+        m_inputs.m_released = true;
+        step();
+        cr_assert_eq(m_promotion.state(), "choosing");
+    }
+
+    std::uint64_t m_version = 0;
+};
+
+} // namespace
+
+Test(promotion, nothing_is_promoted_while_a_host_may_use_the_old_primary)
+{
+    promotion_fixture f;
+    f.step();
+    f.apply();
+    for (int count = 0; count < 20; ++count)
+    {
+        f.step();
+        f.report(first, false, 1, 1, 90);
+        f.report(second, false, 1, 1, 95);
+        cr_assert_not(f.sent<promote_endpoint>().has_value());
+    }
+}
+
+Test(promotion, the_longest_log_is_promoted)
+{
+    promotion_fixture f;
+    f.reach_choice();
+    f.report(first, false, 1, 1, 90);
+    f.report(second, false, 1, 1, 95);
+    f.step();
+    const auto promoted = f.sent<promote_endpoint>();
+    cr_assert(promoted.has_value());
+    cr_assert_eq(promoted->m_endpoint, second);
+}
+
+// Found by hunt, trouble-2 seed 1060704563503: an old primary of term 1 that
+// had been cut off while term 2 went on still called itself primary, was
+// chosen for that, and its log lacked what term 2 had acknowledged.
+Test(promotion, an_old_primary_of_an_older_term_is_not_ahead)
+{
+    promotion_fixture f;
+    f.reach_choice();
+    f.report(first, true, 1, 1, 366);
+    f.report(second, false, 2, 2, 395);
+    f.step();
+    const auto promoted = f.sent<promote_endpoint>();
+    cr_assert(promoted.has_value());
+    cr_assert_eq(promoted->m_endpoint, second);
+}
+
+// The same seed: the old primary's own word was taken for its promotion.
+Test(promotion, a_candidate_of_the_term_before_has_not_been_promoted)
+{
+    promotion_fixture f;
+    f.m_inputs.m_leadership = fleet::leadership_row();
+    f.m_inputs.m_leadership->m_group = base::group_id("g");
+    f.m_inputs.m_leadership->m_generation = 1;
+    f.m_inputs.m_leadership->m_term = base::term(2);
+    f.m_inputs.m_leadership->m_primary = old_primary;
+    f.reach_choice();
+    f.report(first, false, 2, 2, 395);
+    f.step(absl::Milliseconds(300));
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "confirming");
+    f.report(first, true, 1, 1, 366);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "confirming");
+    f.report(first, true, 3, 2, 395);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+}
+
+// A holder that woke up late must not promote under the next holder.
+Test(promotion, nothing_is_promoted_after_the_duty_has_ended)
+{
+    promotion_fixture f;
+    f.reach_choice();
+    f.report(first, false, 1, 1, 90);
+    f.report(second, false, 1, 1, 95);
+    f.step(absl::Seconds(5));
+    cr_assert_not(f.sent<promote_endpoint>().has_value());
+    cr_assert(f.m_promotion.is_idle());
+}
+
+Test(promotion, a_claim_of_another_host_ends_the_own_one)
+{
+    promotion_fixture f;
+    f.reach_choice();
+    f.m_inputs.m_leadership->m_generation = 2;
+    f.m_inputs.m_leadership->m_holder = base::host_id("other");
+    f.step();
+    cr_assert(f.m_promotion.is_idle());
+}
+
+Test(promotion, the_duty_of_a_live_holder_is_not_taken)
+{
+    promotion_fixture f;
+    f.m_inputs.m_duty = fleet::duty_row{base::host_id("other"),
+                                        base::incarnation(1), 4,
+                                        rpc::store_instant(3000)};
+    f.step();
+    cr_assert_not(f.sent<change_rows>().has_value());
+    f.step(absl::Seconds(3));
+    f.apply();
+    cr_assert_eq(f.m_inputs.m_duty->m_token, 5,
+                 "the token grows when the holder changes");
+}
+
+Test(promotion, a_planned_change_waits_for_the_replica_to_catch_up)
+{
+    promotion_fixture f;
+    f.m_inputs.m_need = need::planned;
+    f.reach_choice();
+    f.report(old_primary, true, 1, 1, 100);
+    f.report(first, false, 1, 1, 98);
+    f.report(second, false, 1, 1, 97);
+    f.step();
+    cr_assert_not(f.sent<promote_endpoint>().has_value());
+    f.report(first, false, 1, 1, 100);
+    f.step();
+    cr_assert(f.sent<promote_endpoint>().has_value());
+}
+
+Test(promotion, a_candidate_that_does_not_run_is_followed_by_another)
+{
+    promotion_fixture f;
+    f.reach_choice();
+    f.report(first, false, 1, 1, 90);
+    f.report(second, false, 1, 1, 95);
+    f.step();
+    f.m_promotion.promote_ended(false, f.m_now);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+}
+
+Test(assessment, a_few_hosts_that_are_cut_off_do_not_depose_a_primary)
+{
+    const primary_condition cut_off{false, false, absl::Seconds(2)};
+    const std::vector<absl::Duration> fine(7, absl::ZeroDuration());
+    cr_assert_eq(assess(cut_off, fine), need::none);
+}
+
+Test(assessment, a_third_of_the_hosts_deposes_a_primary)
+{
+    const primary_condition cut_off{false, false, absl::Seconds(2)};
+    std::vector<absl::Duration> others(7, absl::ZeroDuration());
+    others[0] = absl::Seconds(1);
+    others[1] = absl::Seconds(1);
+    cr_assert_eq(assess(cut_off, others), need::failed);
+}
+
+Test(assessment, a_leaving_primary_that_answers_is_replaced_as_planned)
+{
+    cr_assert_eq(assess({false, true, absl::ZeroDuration()}, {}),
+                 need::planned);
+}
