Try replicas again that lagged; open connections with restraint

Change: a shown position counts for 250 ms. Besides, connections are divided by the hosts' demand, 0.6 of them kept; waiting statements reuse idle connections before any is opened, urgent routes first, one opening at a time.

--- a/include/magnoliastack/entry/endpoint_pool.hpp
+++ b/include/magnoliastack/entry/endpoint_pool.hpp
@@ -17,23 +17,26 @@
 // Size of a pool.
 struct pool_options
 {
-    // Connections of this host that are always allowed; the endpoint itself
-    // refuses what exceeds its limit.
-    std::size_t m_floor = 1;
-    // Time after which a limit that was lowered by a refusal grows by one.
-    absl::Duration m_growth_interval = absl::Seconds(1);
+    // Part of the endpoint's connections that are divided over the hosts and
+    // kept. The rest is opened by whoever needs it and closed after use: a
+    // transaction holds its connection through its pauses, so the need of one
+    // host changes much faster than shares can.
+    double m_kept_part = 0.6;
+    // Connections that a host may have open, as a multiple of its part.
+    std::size_t m_largest_multiple = 5;
+    // After a refusal no further connection is opened for this long.
+    absl::Duration m_refusal_pause = absl::Milliseconds(60);
 };
 
-// Holds connections for many organisations below a limit. Every host opens
-// what it needs up to its part of the endpoint's limit; a refusal lowers the
-// own limit, which then grows back, so that hosts with more load get more
-// connections without talking to each other.
+// Holds connections for many organisations. A part of them is this host's own
+// and kept while idle; more are opened while they are needed and the endpoint
+// accepts them.
 class endpoint_pool
 {
 public:
     explicit endpoint_pool(pool_options options = {});
 
-    // Sets this host's part of the endpoint's connections.
+    // Sets the connections that are kept.
     void set_share(std::size_t connections);
 
     // The idle connection of the organisation that needs the least change of
@@ -44,8 +47,20 @@
     // The idle connection that was not used for the longest time, or null.
     connection* oldest_idle();
 
+    // True when there are more connections than are kept.
+    [[nodiscard]] bool is_over_share() const
+    {
+        return m_connections.size() > m_share;
+    }
+
+    // True when there are as many connections as are kept.
+    [[nodiscard]] bool is_full() const
+    {
+        return m_connections.size() >= m_share;
+    }
+
     // True when another connection may be opened.
-    [[nodiscard]] bool can_open(base::instant now);
+    [[nodiscard]] bool can_open(base::instant now) const;
 
     connection& add(base::connection_generation number,
                     const base::endpoint_id& endpoint,
@@ -66,12 +81,9 @@
     [[nodiscard]] std::vector<connection*> all();
 
 private:
-    void grow(base::instant now);
-
     pool_options m_options;
     std::size_t m_share = 1;
-    std::size_t m_limit = 1;
-    base::instant m_limit_changed;
+    base::instant m_refused_until;
     std::map<base::connection_generation, std::unique_ptr<connection>>
         m_connections;
 };
--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -34,8 +34,9 @@
     catalogue::endpoint_entry m_entry;
     endpoint_pool m_pool;
     endpoint_health m_health = endpoint_health::serving;
-    // Last log point that it has shown.
+    // Last log point that it has shown, and when.
     std::optional<base::log_point> m_position;
+    base::instant m_position_at;
     // Moving average of the time of an answer.
     absl::Duration m_answer_time;
     // Last message, and the oldest request that has had none since.
@@ -58,6 +59,8 @@
     replication::commit_bounds m_bounds;
     // Sessions whose work has no connection, oldest first.
     std::deque<rpc::session_number> m_waiting;
+    // Set while these are being placed, which may free further connections.
+    bool m_placing = false;
 };
 
 } // namespace magnoliastack::entry
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -29,6 +29,9 @@
     absl::Duration m_drain_close_idle = absl::Milliseconds(2200);
     absl::Duration m_drain_abort = absl::Milliseconds(3300);
     absl::Duration m_drain_end = absl::Milliseconds(4800);
+    // Connections are divided anew after this; opening one costs 12 ms of an
+    // endpoint's slot, so they do not follow every change of demand.
+    absl::Duration m_division_interval = absl::Seconds(2);
 };
 
 // The links to the outside; they outlive the host.
@@ -104,6 +107,7 @@
     fleet_follower m_follower;
     std::vector<catalogue::endpoint_entry> m_entries;
     std::optional<base::instant> m_draining_since;
+    base::instant m_next_division;
 };
 
 } // namespace magnoliastack::entry
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -33,8 +33,14 @@
     // A longer pause between two ticks is the host's own: it says nothing
     // about endpoints.
     absl::Duration m_own_pause = absl::Milliseconds(300);
+    // Connections that open at one endpoint at the same time; each takes one
+    // of its slots.
+    std::size_t m_largest_opening = 1;
     // Endpoints that one statement tries.
     std::size_t m_largest_tries = 4;
+    // A replica that lagged this long ago is tried again; it refuses if it
+    // still lags.
+    absl::Duration m_position_validity = absl::Milliseconds(250);
     // Pause before a statement goes to an endpoint that refused it as busy.
     absl::Duration m_busy_pause = absl::Milliseconds(30);
     // A statement that got no connection for this long is refused, which
@@ -170,7 +176,10 @@
         report_callback m_done;
     };
 
-    bool place(session& who, base::instant now);
+    bool place(session& who, bool may_open, base::instant now);
+    [[nodiscard]] static bool is_waiting(const session& who);
+    [[nodiscard]] std::vector<rpc::session_number>
+    waiting_in_order(const group_state& group) const;
     void wait(session& who, base::instant now);
     [[nodiscard]] const endpoint_state*
     find_endpoint(const base::endpoint_id& endpoint) const;
@@ -178,8 +187,10 @@
     [[nodiscard]] placement_request requirements(const session& who,
                                                  const group_state& group,
                                                  base::instant now) const;
-    std::vector<placement_candidate>
-    candidates(const session& who, group_state& group, base::instant now);
+    std::vector<placement_candidate> candidates(const session& who,
+                                                group_state& group,
+                                                bool may_open,
+                                                base::instant now);
     void use(session& who, endpoint_state& endpoint, base::instant now);
     connection& open(endpoint_state& endpoint,
                      const base::organisation_id& organisation,
@@ -213,6 +224,7 @@
                          base::instant now);
     void endpoint_answered(endpoint_state& endpoint, base::instant now);
     void check_silence(endpoint_state& endpoint, base::instant now);
+    void trim(endpoint_state& endpoint);
     void check_waiting(group_state& group, base::instant now);
     void check_running(base::instant now);
     void probe(endpoint_state& endpoint, base::instant now);
--- a/include/magnoliastack/quota/demand_shares.hpp
+++ b/include/magnoliastack/quota/demand_shares.hpp
@@ -66,6 +66,11 @@
     // The host's process has ended.
     void ended(const base::host_id& host);
 
+    // Demand of each host over all organisations, as last told; the own one
+    // under the given name.
+    [[nodiscard]] std::map<base::host_id, double>
+    totals(const base::host_id& self) const;
+
     // The host with the most tokens, by what it last told, or none when no
     // host has more than one.
     [[nodiscard]] std::optional<base::host_id>
@@ -100,6 +105,7 @@
 
     demand_options m_options;
     std::size_t m_fleet_size = 1;
+    double m_total_told = 0;
     std::map<base::organisation_id, own_demand> m_own;
     std::map<base::host_id, std::map<base::organisation_id, demand>> m_others;
 };
--- a/lib/entry/endpoint_pool.cpp
+++ b/lib/entry/endpoint_pool.cpp
@@ -31,11 +31,7 @@
 
 void endpoint_pool::set_share(std::size_t connections)
 {
-    const std::size_t share = std::max(connections, m_options.m_floor);
-    if (share == m_share)
-        return;
-    m_share = share;
-    m_limit = share;
+    m_share = std::max<std::size_t>(connections, 1);
 }
 
 connection* endpoint_pool::find_idle(const base::organisation_id& organisation,
@@ -66,10 +62,10 @@
     return oldest;
 }
 
-bool endpoint_pool::can_open(base::instant now)
+bool endpoint_pool::can_open(base::instant now) const
 {
-    grow(now);
-    return m_connections.size() < m_limit;
+    return now >= m_refused_until &&
+           m_connections.size() < m_share * m_options.m_largest_multiple;
 }
 
 connection& endpoint_pool::add(base::connection_generation number,
@@ -94,9 +90,7 @@
 
 void endpoint_pool::refused(base::instant now)
 {
-    m_limit =
-        std::max(m_options.m_floor, std::min(m_limit, m_connections.size()));
-    m_limit_changed = now;
+    m_refused_until = now + m_options.m_refusal_pause;
 }
 
 std::size_t endpoint_pool::opening() const
@@ -128,16 +122,4 @@
     return result;
 }
 
-// The share is an equal part; a busy host may take half as much again from
-// what idle hosts leave unused.
-void endpoint_pool::grow(base::instant now)
-{
-    const std::size_t largest = m_share;
-    if (m_limit >= largest ||
-        now - m_limit_changed < m_options.m_growth_interval)
-        return;
-    ++m_limit;
-    m_limit_changed = now;
-}
-
 } // namespace magnoliastack::entry
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -1,5 +1,7 @@
 #include "magnoliastack/entry/host.hpp"
 
+#include "magnoliastack/quota/division.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -33,6 +35,8 @@
     m_runner.tick(now);
     m_fleet.tick(m_follower.is_reaching_store(), now);
     m_service.tick(now);
+    if (now >= m_next_division)
+        apply_endpoints(now);
     if (!m_draining_since)
         return;
     const auto draining = now - *m_draining_since;
@@ -106,6 +110,7 @@
 
 void host::apply_endpoints(base::instant now)
 {
+    m_next_division = now + m_options.m_division_interval;
     m_runner.set_endpoints(m_entries, connection_shares(), now);
 }
 
@@ -115,9 +120,18 @@
     const auto& configuration = m_service.configuration();
     if (!configuration)
         return shares;
-    const std::size_t hosts = m_fleet.members().size();
+    const base::host_id& self = m_options.m_fleet.m_self;
+    auto demands = m_shares.totals(self);
+    // Members that have told nothing yet count with no demand.
+    for (const auto& [id, member] : m_fleet.members().all())
+        if (!member.m_row.m_out_since)
+            demands.try_emplace(id, 0.0);
     for (const auto& [id, group] : configuration->m_groups)
-        shares[id] = std::max<std::size_t>(1, group.m_max_connections / hosts);
+        shares[id] =
+            quota::divide(static_cast<std::size_t>(group.m_max_connections *
+                                                   pool_options().m_kept_part),
+                          demands)
+                .at(self);
     return shares;
 }
 
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -123,7 +123,10 @@
     endpoint_state* endpoint =
         item == nullptr ? nullptr : find_endpoint(item->m_endpoint);
     if (endpoint != nullptr)
+    {
         endpoint->m_position = report.m_received;
+        endpoint->m_position_at = m_clock.now();
+    }
     const report_callback done = found->second.m_done;
     if (done)
         done(report);
@@ -294,6 +297,7 @@
     const base::group_id& group = endpoint->m_entry.m_group;
     if (!endpoint->m_position || *endpoint->m_position < position)
         endpoint->m_position = position;
+    endpoint->m_position_at = now;
     if (m_primaries.primary(group, now) == on.m_endpoint)
         m_groups.at(group).m_bounds.observed(position, sent);
 }
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -142,12 +142,23 @@
     for (auto& [id, group] : m_groups)
     {
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
+        {
             check_silence(endpoint, now);
+            trim(endpoint);
+        }
         check_waiting(group, now);
         place_waiting(id, now);
     }
 }
 
+// Gives back connections that other hosts may open now.
+void statement_runner::trim(endpoint_state& endpoint)
+{
+    connection* oldest = endpoint.m_pool.oldest_idle();
+    if (oldest != nullptr && endpoint.m_pool.is_over_share())
+        close(*oldest);
+}
+
 void statement_runner::check_waiting(group_state& group, base::instant now)
 {
     const auto waiting = group.m_waiting;
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -49,7 +49,7 @@
     work& what = *who.m_work;
     if (!who.m_pinned)
     {
-        place(who, now);
+        place(who, true, now);
         return;
     }
     connection* pinned = find(*who.m_pinned);
@@ -126,7 +126,7 @@
 
 std::vector<placement_candidate>
 statement_runner::candidates(const session& who, group_state& group,
-                             base::instant now)
+                             bool may_open, base::instant now)
 {
     const auto primary = m_primaries.primary(group.m_id, now);
     const auto& tried = who.m_work->m_tried;
@@ -145,22 +145,26 @@
         candidate.m_primary = is_primary;
         candidate.m_same_failure_domain =
             endpoint.m_entry.m_failure_domain == m_options.m_failure_domain;
-        candidate.m_position = endpoint.m_position;
+        if (now - endpoint.m_position_at < m_options.m_position_validity)
+            candidate.m_position = endpoint.m_position;
         candidate.m_in_flight = endpoint.m_pool.busy();
         candidate.m_slots = endpoint.m_entry.m_slots;
         candidate.m_answer_time = endpoint.m_answer_time;
         candidate.m_has_idle_connection =
             endpoint.m_pool.find_idle(who.m_organisation, who.m_values) !=
             nullptr;
-        candidate.m_can_connect = endpoint.m_pool.can_open(now) ||
-                                  endpoint.m_pool.oldest_idle() != nullptr;
+        candidate.m_can_connect =
+            may_open &&
+            endpoint.m_pool.opening() < m_options.m_largest_opening &&
+            (endpoint.m_pool.can_open(now) ||
+             endpoint.m_pool.oldest_idle() != nullptr);
         result.push_back(candidate);
     }
     return result;
 }
 
 // True when the work got an endpoint or ended.
-bool statement_runner::place(session& who, base::instant now)
+bool statement_runner::place(session& who, bool may_open, base::instant now)
 {
     group_state* group = find_group(who.m_route.m_group);
     if (group == nullptr)
@@ -169,7 +173,7 @@
         return true;
     }
     const auto request = requirements(who, *group, now);
-    auto choices = candidates(who, *group, now);
+    auto choices = candidates(who, *group, may_open, now);
     if (const auto chosen = choose_endpoint(request, choices))
     {
         who.m_work->m_after = request.m_after;
@@ -207,28 +211,64 @@
         waiting.push_back(who.m_number);
 }
 
+// First what finds an idle connection of its organisation, then what needs a
+// new one: each connection that is opened or closed for another organisation
+// costs a slot of the endpoint for 12 ms. Within both, urgent routes go first
+// and then those that have waited longest.
 void statement_runner::place_waiting(const base::group_id& id,
                                      base::instant now)
 {
     group_state* group = find_group(id);
-    if (group == nullptr || group->m_waiting.empty())
+    if (group == nullptr || group->m_waiting.empty() || group->m_placing)
         return;
-    std::deque<rpc::session_number> waiting;
-    waiting.swap(group->m_waiting);
-    while (!waiting.empty())
+    group->m_placing = true;
+    for (const bool may_open : {false, true})
+    {
+        for (const auto number : waiting_in_order(*group))
+        {
+            const auto found = m_sessions.find(number);
+            if (found == m_sessions.end() || !is_waiting(*found->second))
+                continue;
+            session& who = *found->second;
+            if (now >= who.m_work->m_not_before)
+                place(who, may_open, now);
+        }
+    }
+    std::erase_if(group->m_waiting,
+                  [this](rpc::session_number number)
+                  {
+                      const auto found = m_sessions.find(number);
+                      return found == m_sessions.end() ||
+                             !is_waiting(*found->second);
+                  });
+    group->m_placing = false;
+}
+
+bool statement_runner::is_waiting(const session& who)
+{
+    return who.m_work && who.m_work->m_stage == work_stage::waiting;
+}
+
+std::vector<rpc::session_number>
+statement_runner::waiting_in_order(const group_state& group) const
+{
+    std::vector<std::pair<std::uint32_t, rpc::session_number>> keyed;
+    for (const auto number : group.m_waiting)
     {
-        const auto number = waiting.front();
-        waiting.pop_front();
         const auto found = m_sessions.find(number);
-        if (found == m_sessions.end() || !found->second->m_work ||
-            found->second->m_work->m_stage != work_stage::waiting)
-            continue;
-        session& who = *found->second;
-        if (now < who.m_work->m_not_before)
-            wait(who, now);
-        else
-            place(who, now);
+        if (found != m_sessions.end() && is_waiting(*found->second))
+            keyed.emplace_back(found->second->m_route.m_priority, number);
     }
+    std::stable_sort(keyed.begin(), keyed.end(),
+                     [](const auto& one, const auto& other)
+                     {
+                         return one.first < other.first;
+                     });
+    std::vector<rpc::session_number> result;
+    result.reserve(keyed.size());
+    for (const auto& item : keyed)
+        result.push_back(item.second);
+    return result;
 }
 
 void statement_runner::use(session& who, endpoint_state& endpoint,
@@ -244,7 +284,7 @@
         start(who, *idle, now);
         return;
     }
-    if (!endpoint.m_pool.can_open(now))
+    if (endpoint.m_pool.is_full() || !endpoint.m_pool.can_open(now))
     {
         connection* oldest = endpoint.m_pool.oldest_idle();
         if (oldest != nullptr)
@@ -373,14 +413,18 @@
 {
     item.m_owner.reset();
     item.m_used = now;
+    const auto number = item.m_number;
     const endpoint_state* endpoint = find_endpoint(item.m_endpoint);
     const auto group = m_group_of.find(item.m_endpoint);
     if (group == m_group_of.end())
         return;
     const base::group_id id = group->second;
-    if (endpoint == nullptr || !endpoint->m_listed)
-        close(item);
+    const bool keep = endpoint != nullptr && endpoint->m_listed;
     place_waiting(id, now);
+    connection* still = find(number);
+    if (still != nullptr && still->is_idle() &&
+        (!keep || endpoint->m_pool.is_over_share()))
+        close(*still);
 }
 
 void statement_runner::close(connection& item)
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -35,7 +35,8 @@
 // The newest term first: what an endpoint of an older term holds or calls
 // itself counts for nothing. Within a term its leader, whose log is the one
 // that the others follow; without it the longest log.
-bool is_ahead(const rpc::endpoint_report& one, const rpc::endpoint_report& other)
+bool is_ahead(const rpc::endpoint_report& one,
+              const rpc::endpoint_report& other)
 {
     if (one.m_term != other.m_term)
         return one.m_term > other.m_term;
--- a/lib/quota/demand_shares.cpp
+++ b/lib/quota/demand_shares.cpp
@@ -33,6 +33,7 @@
 demand_report demand_shares::report(base::instant now)
 {
     demand_report result;
+    m_total_told = 0;
     for (auto& [who, item] : m_own)
     {
         double rate = corrected(item, now);
@@ -49,6 +50,7 @@
         if (counting != told.rend())
             told.erase(told.begin(), std::prev(counting.base()));
         result.push_back({who, rate, 0});
+        m_total_told += rate;
     }
     return result;
 }
@@ -67,6 +69,20 @@
     m_others.erase(host);
 }
 
+std::map<base::host_id, double>
+demand_shares::totals(const base::host_id& self) const
+{
+    std::map<base::host_id, double> result;
+    result[self] = m_total_told;
+    for (const auto& [host, demand] : m_others)
+    {
+        double& total = result[host];
+        for (const auto& [who, item] : demand)
+            total += item.m_rate;
+    }
+    return result;
+}
+
 std::optional<base::host_id>
 demand_shares::richest(const base::organisation_id& who) const
 {
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -201,9 +201,9 @@
 Test(promotion, the_duty_of_a_live_holder_is_not_taken)
 {
     promotion_fixture f;
-    f.m_inputs.m_duty = fleet::duty_row{base::host_id("other"),
-                                        base::incarnation(1), 4,
-                                        rpc::store_instant(3000)};
+    f.m_inputs.m_duty =
+        fleet::duty_row{base::host_id("other"), base::incarnation(1), 4,
+                        rpc::store_instant(3000)};
     f.step();
     cr_assert_not(f.sent<change_rows>().has_value());
     f.step(absl::Seconds(3));
