Let a risen demand count from an instant that all hosts know

Change: reports carry the store's time; a rise counts 600 ms after it was told at all hosts; without any demand the rate is divided evenly. A host that missed a report lets the next one count at once. Tests: shares add up to one with two lost reports, a starting fleet, lending, division of connections. Ruled out: initial tokens, which every restart would mint.

--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -45,6 +45,8 @@
     base::configuration_version m_configuration;
     rpc::row_version m_newest_row;
     rpc::store_instant m_confirmed_at;
+    // The store's time of the report.
+    rpc::store_instant m_told_at;
     quota::demand_report m_demand;
     std::vector<group_report> m_groups;
 };
--- a/include/magnoliastack/quota/demand_shares.hpp
+++ b/include/magnoliastack/quota/demand_shares.hpp
@@ -25,8 +25,8 @@
     // for some operations a second; a shorter average mistakes chance for
     // demand, and shares that follow it add up to less than the rate.
     absl::Duration m_average = absl::Seconds(4);
-    // A risen demand of the own counts only after all hosts had time to hear
-    // of it and to lower their shares: two reports.
+    // A risen demand counts this long after it was told: two reports may be
+    // lost meanwhile.
     absl::Duration m_settle = absl::Milliseconds(600);
     // Part of the rate that is divided evenly, so that a host which had no
     // demand so far can serve a first operation.
@@ -44,9 +44,24 @@
 };
 using demand_report = std::vector<demand>;
 
+// A host's demand over time, as it has told it. Every host that has heard the
+// same values comes to the same present one.
+class told_rate
+{
+public:
+    // A value that counts from an instant on.
+    void tell(base::instant from, double rate, base::instant now);
+
+    // The lowest value told since the one that counts: a fall counts at once.
+    [[nodiscard]] double at(base::instant now) const;
+
+private:
+    std::vector<std::pair<base::instant, double>> m_values;
+};
+
 // Every host tells all others its demand, and each takes the part of the rate
-// that its demand has in the sum. A fall of demand counts at once, a rise only
-// after the others had time to hear of it, so the parts add up to one at most.
+// that its demand has in the sum. A risen demand counts from an instant that
+// all hosts know, by when they have heard of it, so the parts add up to one.
 // The demand of a host that cannot be heard counts on until the host is known
 // to have ended, because it may still be serving.
 class demand_shares
@@ -60,8 +75,16 @@
     // The own demand to tell the others now.
     demand_report report(base::instant now);
 
-    // A host's demand.
-    void reported(const base::host_id& host, const demand_report& demand);
+    // A host's demand. When the report before was missed, a rise counts at
+    // once: the host may have told it long ago.
+    struct told_at
+    {
+        // The own clock at the telling and now.
+        base::instant m_told;
+        base::instant m_now;
+    };
+    void reported(const base::host_id& host, const demand_report& demand,
+                  const told_at& when, bool missed);
 
     // The host's process has ended.
     void ended(const base::host_id& host);
@@ -92,22 +115,25 @@
         double m_rate = 0;
         base::instant m_updated;
         base::instant m_started;
-        // Values told, with the instants from which they count.
-        std::vector<std::pair<base::instant, double>> m_told;
+        told_rate m_told;
     };
 
     [[nodiscard]] double rate_at(const own_demand& item,
                                  base::instant now) const;
     [[nodiscard]] double corrected(const own_demand& item,
                                    base::instant now) const;
-    [[nodiscard]] double settled(const own_demand& item,
-                                 base::instant now) const;
 
     demand_options m_options;
     std::size_t m_fleet_size = 1;
     double m_total_told = 0;
     std::map<base::organisation_id, own_demand> m_own;
-    std::map<base::host_id, std::map<base::organisation_id, demand>> m_others;
+    struct other_demand
+    {
+        told_rate m_told;
+        demand m_last;
+    };
+    std::map<base::host_id, std::map<base::organisation_id, other_demand>>
+        m_others;
 };
 
 } // namespace magnoliastack::quota
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -16,6 +16,8 @@
     report.m_store_reachable = m_store_reachable;
     report.m_newest_row = m_currency.newest();
     report.m_confirmed_at = m_currency.confirmed_at();
+    report.m_told_at =
+        m_store_clock.earliest(now).value_or(rpc::store_instant());
     report.m_demand = m_shares.report(now);
     for (auto& item : report.m_demand)
         item.m_tokens = m_tokens->tokens(item.m_organisation, now);
@@ -76,13 +78,19 @@
 void fleet_service::take_report(fleet::host_report report, base::instant now)
 {
     const base::host_id host = report.m_host;
+    const fleet::member* known = m_members.find(host);
+    const bool missed = known == nullptr || !known->m_report ||
+                        known->m_report->m_number + 1 != report.m_number;
     if (!m_members.report_received(std::move(report), now))
         return;
     const fleet::host_report& taken = *m_members.find(host)->m_report;
     if (taken.m_leaving)
         m_shares.ended(host);
     else
-        m_shares.reported(host, taken.m_demand);
+        m_shares.reported(
+            host, taken.m_demand,
+            {m_store_clock.not_after(taken.m_told_at, now).value_or(now), now},
+            missed);
     m_currency.peer_confirmed(taken.m_newest_row, taken.m_confirmed_at);
     for (const auto& group : taken.m_groups)
         take_covered(group, now);
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -61,6 +61,7 @@
         base::configuration_version(from.getConfigurationVersion());
     to.m_newest_row = rpc::row_version(from.getNewestRow());
     to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
+    to.m_told_at = rpc::store_instant(from.getToldAt());
     for (const auto item : from.getDemands())
         to.m_demand.push_back(
             {base::organisation_id(text(item.getOrganisation())),
@@ -80,6 +81,7 @@
     root.setConfigurationVersion(report.m_configuration.value());
     root.setNewestRow(report.m_newest_row.value());
     root.setConfirmedAt(report.m_confirmed_at.value());
+    root.setToldAt(report.m_told_at.value());
     auto demands =
         root.initDemands(static_cast<unsigned>(report.m_demand.size()));
     unsigned index = 0;
--- a/lib/quota/demand_shares.cpp
+++ b/lib/quota/demand_shares.cpp
@@ -39,16 +39,7 @@
         double rate = corrected(item, now);
         if (rate < least_rate)
             rate = 0;
-        auto& told = item.m_told;
-        told.emplace_back(now + m_options.m_settle, rate);
-        // Only the newest value that counts already and those after it matter.
-        const auto counting = std::find_if(told.rbegin(), told.rend(),
-                                           [now](const auto& value)
-                                           {
-                                               return value.first <= now;
-                                           });
-        if (counting != told.rend())
-            told.erase(told.begin(), std::prev(counting.base()));
+        item.m_told.tell(now + m_options.m_settle, rate, now);
         result.push_back({who, rate, 0});
         m_total_told += rate;
     }
@@ -56,12 +47,17 @@
 }
 
 void demand_shares::reported(const base::host_id& host,
-                             const demand_report& demand)
+                             const demand_report& demand, const told_at& when,
+                             bool missed)
 {
     auto& known = m_others[host];
-    known.clear();
+    const auto from = missed ? when.m_now : when.m_told + m_options.m_settle;
     for (const auto& item : demand)
-        known[item.m_organisation] = item;
+    {
+        other_demand& other = known[item.m_organisation];
+        other.m_told.tell(from, item.m_rate, when.m_now);
+        other.m_last = item;
+    }
 }
 
 void demand_shares::ended(const base::host_id& host)
@@ -78,7 +74,7 @@
     {
         double& total = result[host];
         for (const auto& [who, item] : demand)
-            total += item.m_rate;
+            total += item.m_last.m_rate;
     }
     return result;
 }
@@ -92,9 +88,9 @@
     for (const auto& [host, demand] : m_others)
     {
         const auto found = demand.find(who);
-        if (found == demand.end() || found->second.m_tokens <= most)
+        if (found == demand.end() || found->second.m_last.m_tokens <= most)
             continue;
-        most = found->second.m_tokens;
+        most = found->second.m_last.m_tokens;
         best = host;
     }
     return best;
@@ -108,7 +104,7 @@
         return;
     const auto found = known->second.find(who);
     if (found != known->second.end())
-        found->second.m_tokens = 0;
+        found->second.m_last.m_tokens = 0;
 }
 
 void demand_shares::set_fleet_size(std::size_t hosts)
@@ -119,24 +115,19 @@
 double demand_shares::share(const base::organisation_id& who,
                             base::instant now) const
 {
-    const double even =
-        m_options.m_even_part / static_cast<double>(m_fleet_size);
+    const double equal = 1 / static_cast<double>(m_fleet_size);
     const auto own = m_own.find(who);
-    if (own == m_own.end())
-        return even;
-    const double mine = settled(own->second, now);
-    // The own share of the sum uses what the others were told of this host,
-    // not the present value: that may be lower by now.
-    double others = 0;
+    const double mine = own == m_own.end() ? 0 : own->second.m_told.at(now);
+    double sum = mine;
     for (const auto& [host, demand] : m_others)
     {
         const auto found = demand.find(who);
         if (found != demand.end())
-            others += found->second.m_rate;
+            sum += found->second.m_told.at(now);
     }
-    if (mine <= 0)
-        return even;
-    return even + (1 - m_options.m_even_part) * mine / (mine + others);
+    const double by_demand = sum > 0 ? mine / sum : equal;
+    return m_options.m_even_part * equal +
+           (1 - m_options.m_even_part) * by_demand;
 }
 
 double demand_shares::rate_at(const own_demand& item, base::instant now) const
@@ -157,22 +148,27 @@
     return rate_at(item, now) / part;
 }
 
-// The lowest value told since the one that counts: a fall counts at once.
-double demand_shares::settled(const own_demand& item, base::instant now) const
+void told_rate::tell(base::instant from, double rate, base::instant now)
+{
+    m_values.emplace_back(from, rate);
+    // Only the newest value that counts already and those after it matter.
+    const auto counting = std::find_if(m_values.rbegin(), m_values.rend(),
+                                       [now](const auto& value)
+                                       {
+                                           return value.first <= now;
+                                       });
+    if (counting != m_values.rend())
+        m_values.erase(m_values.begin(), std::prev(counting.base()));
+}
+
+double told_rate::at(base::instant now) const
 {
     double lowest = 0;
     bool counts = false;
-    for (const auto& [from, rate] : item.m_told)
+    for (const auto& [from, rate] : m_values)
     {
-        if (from <= now)
-        {
-            lowest = rate;
-            counts = true;
-        }
-        else
-        {
-            lowest = std::min(lowest, rate);
-        }
+        counts = counts || from <= now;
+        lowest = from <= now ? rate : std::min(lowest, rate);
     }
     return counts ? lowest : 0;
 }
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -61,4 +61,6 @@
   # The host reached the store within the last second.
   storeReachable @8 :Bool;
   configurationVersion @9 :UInt64;
+  # The store's time of the report, in milliseconds.
+  toldAt @10 :UInt64;
 }
--- /dev/null
+++ b/unittests/quota/quota_test.cpp
@@ -0,0 +1,206 @@
+#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/division.hpp"
+#include "magnoliastack/quota/token_gate.hpp"
+
+#include <array>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace magnoliastack::quota;
+namespace base = magnoliastack::base;
+namespace catalogue = magnoliastack::catalogue;
+
+namespace
+{
+
+const base::organisation_id union_office("union-office");
+constexpr std::size_t fleet_size = 8;
+
+// Hosts that tell each other their demand; a datagram takes 1 ms or is lost.
+struct fleet_fixture
+{
+    std::array<demand_shares, fleet_size> m_hosts;
+    std::array<std::size_t, fleet_size> m_number{};
+    std::array<std::array<std::size_t, fleet_size>, fleet_size> m_heard{};
+    base::instant m_now = base::instant() + absl::Seconds(50);
+
+    fleet_fixture()
+    {
+        for (auto& host : m_hosts)
+            host.set_fleet_size(fleet_size);
+    }
+
+    static base::host_id name(std::size_t host)
+    {
+        return base::host_id("h" + std::to_string(host));
+    }
+
+    void tell(std::size_t from, const std::vector<bool>& lost)
+    {
+        ++m_number[from];
+        const auto report = m_hosts[from].report(m_now);
+        for (std::size_t to = 0; to < fleet_size; ++to)
+        {
+            if (to == from || lost[to])
+                continue;
+            const bool missed = m_heard[to][from] + 1 != m_number[from];
+            m_heard[to][from] = m_number[from];
+            m_hosts[to].reported(name(from), report,
+                                 {m_now, m_now + absl::Milliseconds(1)},
+                                 missed);
+        }
+    }
+
+    double sum_of_shares() const
+    {
+        double sum = 0;
+        for (const auto& host : m_hosts)
+            sum += host.share(union_office, m_now);
+        return sum;
+    }
+};
+
+catalogue::configuration limits(double rate, double burst)
+{
+    catalogue::configuration result;
+    result.m_organisations[union_office] = {union_office, rate, burst};
+    return result;
+}
+
+unsigned seed()
+{
+    const char* given = std::getenv("MAGNOLIA_SEED");
+    return given == nullptr ? 20261204U
+                            : static_cast<unsigned>(std::atoi(given));
+}
+
+} // namespace
+
+Test(demand_shares, shares_of_hosts_that_hear_each_other_add_up_to_one)
+{
+    const std::vector<bool> none(fleet_size, false);
+    std::mt19937 random(seed());
+    fleet_fixture f;
+    for (int step = 0; step < 2000; ++step)
+    {
+        // The demand moves from host to host.
+        const std::size_t busy = static_cast<std::size_t>(step / 100) % 8;
+        for (int count = 0; count < 5; ++count)
+            f.m_hosts[busy].arrived(union_office, f.m_now);
+        f.m_hosts[random() % fleet_size].arrived(union_office, f.m_now);
+        if (step % 25 == 0)
+            for (std::size_t host = 0; host < fleet_size; ++host)
+                f.tell(host, none);
+        f.m_now = f.m_now + absl::Milliseconds(10);
+        cr_assert_leq(f.sum_of_shares(), 1.0001, "step %d, seed %u", step,
+                      seed());
+    }
+}
+
+Test(demand_shares, two_lost_reports_in_a_row_do_not_mint_a_share)
+{
+    std::vector<bool> lost(fleet_size, false);
+    fleet_fixture f;
+    for (std::size_t host = 0; host < fleet_size; ++host)
+        f.m_hosts[host].arrived(union_office, f.m_now);
+    for (std::size_t host = 0; host < fleet_size; ++host)
+        f.tell(host, lost);
+    f.m_now = f.m_now + absl::Seconds(1);
+    for (int count = 0; count < 300; ++count)
+        f.m_hosts[0].arrived(union_office, f.m_now);
+    lost[3] = true;
+    for (int round = 0; round < 5; ++round)
+    {
+        lost[3] = round < 2;
+        f.tell(0, lost);
+        for (int part = 0; part < 25; ++part)
+        {
+            f.m_now = f.m_now + absl::Milliseconds(10);
+            cr_assert_leq(f.sum_of_shares(), 1.0001, "round %d", round);
+        }
+    }
+}
+
+Test(demand_shares, a_host_that_cannot_be_heard_keeps_its_part)
+{
+    const std::vector<bool> none(fleet_size, false);
+    fleet_fixture f;
+    for (auto& host : f.m_hosts)
+        host.arrived(union_office, f.m_now);
+    for (std::size_t host = 0; host < fleet_size; ++host)
+        f.tell(host, none);
+    f.m_now = f.m_now + absl::Seconds(5);
+    for (int round = 0; round < 8; ++round)
+    {
+        f.m_hosts[0].arrived(union_office, f.m_now);
+        f.tell(0, none);
+        f.m_now = f.m_now + absl::Milliseconds(250);
+    }
+    cr_assert_lt(f.sum_of_shares(), 1.0001);
+    const double before = f.m_hosts[0].share(union_office, f.m_now);
+    f.m_hosts[0].ended(fleet_fixture::name(5));
+    cr_assert_gt(f.m_hosts[0].share(union_office, f.m_now), before);
+}
+
+Test(demand_shares, a_starting_fleet_divides_the_rate_evenly)
+{
+    const fleet_fixture f;
+    cr_assert_float_eq(f.sum_of_shares(), 1.0, 1e-9);
+}
+
+// Nothing was admitted in quiet-1 on a share that was only applied at an
+// operation: it had lapsed for most of the time between two of them.
+Test(token_gate, tokens_accrue_between_operations)
+{
+    demand_shares shares;
+    token_gate gate(shares);
+    const auto config = limits(10, 10);
+    base::instant now = base::instant() + absl::Seconds(50);
+    gate.refresh(config, now);
+    for (int tick = 0; tick < 40; ++tick)
+    {
+        now = now + absl::Milliseconds(50);
+        gate.refresh(config, now);
+    }
+    cr_assert_geq(gate.tokens(union_office, now), 9);
+}
+
+Test(token_gate, lent_tokens_are_taken_out_and_one_stays)
+{
+    demand_shares shares;
+    token_gate gate(shares);
+    const auto config = limits(10, 10);
+    base::instant now = base::instant() + absl::Seconds(50);
+    for (int tick = 0; tick < 60; ++tick)
+    {
+        gate.refresh(config, now);
+        now = now + absl::Milliseconds(50);
+    }
+    const auto before = gate.tokens(union_office, now);
+    cr_assert_eq(gate.lend(config, union_office, 4, now), 4);
+    cr_assert_eq(gate.tokens(union_office, now), before - 4);
+    cr_assert_lt(gate.lend(config, union_office, 100, now), before - 4);
+    cr_assert_geq(gate.tokens(union_office, now), 1);
+}
+
+Test(division, parts_follow_demand_and_add_up)
+{
+    std::map<base::host_id, double> demands;
+    for (int host = 0; host < 8; ++host)
+        demands[base::host_id("h" + std::to_string(host))] = 10;
+    demands[base::host_id("h3")] = 70;
+    const auto parts = divide(21, demands);
+    std::size_t sum = 0;
+    for (const auto& [host, part] : parts)
+    {
+        cr_assert_geq(part, 1);
+        sum += part;
+    }
+    cr_assert_eq(sum, 21);
+    cr_assert_geq(parts.at(base::host_id("h3")), 7);
+}
