Keep the primary in service while a planned change cannot finish

Cause: a planned change claimed the group at once, and with a host that could not be asked nobody used the primary for 5.4 s although it still served. Change: hosts that were not heard for 1.5 s are marked as out, and a planned change starts when every host can be asked or has lapsed, after 5.5 s anyway.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -30,6 +30,9 @@
     absl::Duration m_report_interval = absl::Milliseconds(250);
     // A statement under way at a primary that moves may end within this.
     absl::Duration m_stop_wait = absl::Milliseconds(300);
+    // A planned change waits this long until every host can be asked or has
+    // lapsed; the primary serves meanwhile.
+    absl::Duration m_planned_wait = absl::Milliseconds(5500);
     // Hosts start a promotion one after the other, so that claims do not race.
     absl::Duration m_turn = absl::Milliseconds(150);
     absl::Duration m_change_timeout = absl::Milliseconds(800);
@@ -156,6 +159,7 @@
     [[nodiscard]] bool is_own_turn(const group_leadership& group,
                                    handover::need need,
                                    base::instant now) const;
+    [[nodiscard]] bool can_all_release(base::instant now) const;
     [[nodiscard]] handover::promotion_inputs inputs(const base::group_id& id,
                                                     group_leadership& group,
                                                     base::instant now);
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -21,9 +21,10 @@
 {
     // A host that was heard within this is taken to live.
     absl::Duration m_live = absl::Milliseconds(1000);
-    // A host that was not heard for this is marked as out, so that nobody
-    // waits for it when a row changes.
-    absl::Duration m_out_after = absl::Seconds(6);
+    // A host that was not heard for this is marked as out. Its reliance on rows
+    // then lapses before anybody has to wait for it, and a host that reaches
+    // the store simply registers again.
+    absl::Duration m_out_after = absl::Milliseconds(1500);
     // Hosts told in one round. With more hosts each is told less often, which
     // keeps the cost of a host the same at any size of the fleet.
     std::size_t m_fan_out = 10;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -62,11 +62,15 @@
 
 // The live hosts take turns. While one of them holds the duty, the others
 // leave the start to it.
-bool fleet_service::is_own_turn(const group_leadership& group, need /*need*/,
+bool fleet_service::is_own_turn(const group_leadership& group, need why,
                                 base::instant now) const
 {
     if (!group.m_needed_since || !m_store_reachable)
         return false;
+    if (why == need::planned &&
+        now - *group.m_needed_since < m_options.m_planned_wait &&
+        !can_all_release(now))
+        return false;
     const auto live = m_members.live(now);
     const auto place = std::find(live.begin(), live.end(), m_options.m_self);
     const auto rank = place - live.begin();
@@ -74,6 +78,20 @@
            m_options.m_turn * static_cast<double>(rank);
 }
 
+bool fleet_service::can_all_release(base::instant now) const
+{
+    const auto live = m_members.live(now);
+    for (const auto& [host, item] : m_members.all())
+    {
+        const bool lapsed = item.m_row.m_out_since &&
+                            m_currency.has_lapsed_since(*item.m_row.m_out_since,
+                                                        m_store_clock, now);
+        if (!lapsed && std::find(live.begin(), live.end(), host) == live.end())
+            return false;
+    }
+    return true;
+}
+
 handover::promotion_inputs fleet_service::inputs(const base::group_id& id,
                                                  group_leadership& group,
                                                  base::instant now)
