Carry leadership rows in the hosts' reports

Change: a report carries the sender's leadership rows; the receiver takes newer ones and may rely on them from the sender's confirmation on. Hosts marked as out get no reports, so no report extends a reliance that others count as ended.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -133,6 +133,8 @@
     {
         std::optional<fleet::leadership_row> m_row;
         rpc::row_version m_version;
+        // The version that was carried out.
+        rpc::row_version m_followed;
         // The store's time after the row's change, and when it came here.
         rpc::store_instant m_changed_at;
         base::instant m_changed;
@@ -146,6 +148,10 @@
     [[nodiscard]] bool is_current(base::instant now) const;
     [[nodiscard]] std::optional<base::endpoint_id>
     initial_primary(const base::group_id& group) const;
+    void take_leadership(const fleet::leadership_row& row,
+                         rpc::row_version version, rpc::store_instant at,
+                         base::instant now);
+    void follow_leadership(base::instant now);
     void register_self(base::instant now);
     void mark_silent(base::instant now);
     void change_members(rpc::fleet_change change);
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -4,6 +4,7 @@
 
 #include "magnoliastack/base/error.hpp"
 #include "magnoliastack/base/ids.hpp"
+#include "magnoliastack/fleet/rows.hpp"
 #include "magnoliastack/quota/demand_shares.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
 
@@ -32,6 +33,10 @@
     rpc::store_instant m_covered_at;
     // Zero when the primary answers.
     absl::Duration m_unreachable;
+    // The leadership row that the host knows, for hosts that cannot reach the
+    // store; version 0 without one.
+    leadership_row m_row;
+    rpc::row_version m_row_version;
 };
 
 // One report; the next one replaces it.
@@ -43,7 +48,6 @@
     bool m_leaving = false;
     bool m_store_reachable = false;
     base::configuration_version m_configuration;
-    rpc::row_version m_newest_row;
     rpc::store_instant m_confirmed_at;
     // The store's time of the report.
     rpc::store_instant m_told_at;
--- a/include/magnoliastack/lease/currency.hpp
+++ b/include/magnoliastack/lease/currency.hpp
@@ -21,19 +21,15 @@
     absl::Duration m_margin = absl::Milliseconds(400);
 };
 
-// A confirmation says: at this time of the store there was no row newer than
-// this version. It comes from the store, or from a peer that knows the same
-// newest row.
+// A confirmation says: at this time of the store the rows were as this host
+// knows them. It comes from the store, or from a peer that told its rows.
 class currency
 {
 public:
     explicit currency(currency_options options = {});
 
-    // The store confirmed that all rows up to `newest` are known.
-    void confirmed(rpc::row_version newest, rpc::store_instant at);
-
-    // A peer knows of this confirmation.
-    void peer_confirmed(rpc::row_version newest, rpc::store_instant at);
+    // The rows that are known were the newest ones at this time.
+    void confirmed(rpc::store_instant at);
 
     // True while the rows may be relied on.
     [[nodiscard]] bool is_current(const store_clock& clock,
@@ -45,10 +41,6 @@
                                         const store_clock& clock,
                                         base::instant now) const;
 
-    [[nodiscard]] rpc::row_version newest() const
-    {
-        return m_newest;
-    }
     [[nodiscard]] rpc::store_instant confirmed_at() const
     {
         return m_at;
@@ -56,7 +48,6 @@
 
 private:
     currency_options m_options;
-    rpc::row_version m_newest;
     rpc::store_instant m_at;
 };
 
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -14,7 +14,6 @@
     report.m_number = ++m_report_number;
     report.m_leaving = m_leaving;
     report.m_store_reachable = m_store_reachable;
-    report.m_newest_row = m_currency.newest();
     report.m_confirmed_at = m_currency.confirmed_at();
     report.m_told_at =
         m_store_clock.earliest(now).value_or(rpc::store_instant());
@@ -26,6 +25,11 @@
         fleet::group_report item;
         item.m_group = id;
         item.m_stopped_generation = group.m_stopped;
+        if (group.m_row)
+        {
+            item.m_row = *group.m_row;
+            item.m_row_version = group.m_version;
+        }
         const auto leader = primary(id, now);
         if (leader)
         {
@@ -91,7 +95,14 @@
             host, taken.m_demand,
             {m_store_clock.not_after(taken.m_told_at, now).value_or(now), now},
             missed);
-    m_currency.peer_confirmed(taken.m_newest_row, taken.m_confirmed_at);
+    // Hosts that are marked as out get no reports, so a report that comes here
+    // was sent before this host could have been marked.
+    for (const auto& group : taken.m_groups)
+        if (group.m_row_version.value() != 0)
+            take_leadership(group.m_row, group.m_row_version,
+                            taken.m_confirmed_at, now);
+    m_currency.confirmed(taken.m_confirmed_at);
+    follow_leadership(now);
     for (const auto& group : taken.m_groups)
         take_covered(group, now);
     for (auto& [id, group] : m_groups)
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -72,36 +72,51 @@
         m_duty = **duty;
         m_duty_version = row.m_version;
     }
-    if (!*leadership)
+    if (*leadership)
+        take_leadership(**leadership, row.m_version, at, now);
+}
+
+// A row may come from the store and from peers, in any order.
+void fleet_service::take_leadership(const fleet::leadership_row& row,
+                                    rpc::row_version version,
+                                    rpc::store_instant at, base::instant now)
+{
+    group_leadership& group = find(row.m_group);
+    if (version <= group.m_version)
         return;
-    group_leadership& group = find((*leadership)->m_group);
-    group.m_row = **leadership;
-    group.m_version = row.m_version;
+    group.m_row = row;
+    group.m_version = version;
     group.m_changed_at = at;
     group.m_changed = now;
     m_log.info("leadership_changed",
-               {{"group", group.m_row->m_group},
-                {"generation", group.m_row->m_generation},
-                {"phase", group.m_row->m_phase == leadership_phase::serving
-                              ? "serving"
-                              : "moving"},
-                {"primary", group.m_row->m_primary},
-                {"term", group.m_row->m_term},
-                {"holder", group.m_row->m_holder},
-                {"version", row.m_version}});
+               {{"group", row.m_group},
+                {"generation", row.m_generation},
+                {"phase", row.m_phase == leadership_phase::serving ? "serving"
+                                                                   : "moving"},
+                {"primary", row.m_primary},
+                {"term", row.m_term},
+                {"holder", row.m_holder},
+                {"version", version}});
 }
 
-void fleet_service::rows_confirmed(rpc::row_version newest,
+void fleet_service::rows_confirmed(rpc::row_version /*newest*/,
                                    rpc::store_instant at, base::instant sent,
                                    base::instant now)
 {
     m_rows_known = true;
     m_store_clock.answered(at, sent, now);
-    m_currency.confirmed(newest, at);
+    m_currency.confirmed(at);
+    follow_leadership(now);
+}
+
+// Carries out what changed leaderships ask of this host.
+void fleet_service::follow_leadership(base::instant now)
+{
     for (auto& [id, group] : m_groups)
     {
-        if (!group.m_row || group.m_version != newest)
+        if (!group.m_row || group.m_followed == group.m_version)
             continue;
+        group.m_followed = group.m_version;
         stop_moving(id, group, now);
         replace_primary(id, group, now);
         if (group.m_row->m_phase != leadership_phase::serving)
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -34,6 +34,12 @@
     to.setCoveredAt(from.m_covered_at.value());
     to.setUnreachableMs(static_cast<std::uint32_t>(
         absl::ToInt64Milliseconds(from.m_unreachable)));
+    to.setRowVersion(from.m_row_version.value());
+    to.setRowGeneration(from.m_row.m_generation);
+    to.setRowMoving(from.m_row.m_phase == leadership_phase::moving);
+    to.setRowPrimary(from.m_row.m_primary.str());
+    to.setRowTerm(from.m_row.m_term.value());
+    to.setRowHolder(from.m_row.m_holder.str());
 }
 
 group_report read_group(wire::GroupReport::Reader from)
@@ -46,6 +52,14 @@
                     base::log_position(from.getPosition())};
     to.m_covered_at = rpc::store_instant(from.getCoveredAt());
     to.m_unreachable = absl::Milliseconds(from.getUnreachableMs());
+    to.m_row_version = rpc::row_version(from.getRowVersion());
+    to.m_row.m_group = to.m_group;
+    to.m_row.m_generation = from.getRowGeneration();
+    to.m_row.m_phase = from.getRowMoving() ? leadership_phase::moving
+                                           : leadership_phase::serving;
+    to.m_row.m_primary = base::endpoint_id(text(from.getRowPrimary()));
+    to.m_row.m_term = base::term(from.getRowTerm());
+    to.m_row.m_holder = base::host_id(text(from.getRowHolder()));
     return to;
 }
 
@@ -59,7 +73,6 @@
     to.m_store_reachable = from.getStoreReachable();
     to.m_configuration =
         base::configuration_version(from.getConfigurationVersion());
-    to.m_newest_row = rpc::row_version(from.getNewestRow());
     to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
     to.m_told_at = rpc::store_instant(from.getToldAt());
     for (const auto item : from.getDemands())
@@ -79,7 +92,6 @@
     root.setLeaving(report.m_leaving);
     root.setStoreReachable(report.m_store_reachable);
     root.setConfigurationVersion(report.m_configuration.value());
-    root.setNewestRow(report.m_newest_row.value());
     root.setConfirmedAt(report.m_confirmed_at.value());
     root.setToldAt(report.m_told_at.value());
     auto demands =
--- a/lib/lease/currency.cpp
+++ b/lib/lease/currency.cpp
@@ -18,18 +18,11 @@
 {
 }
 
-void currency::confirmed(rpc::row_version newest, rpc::store_instant at)
+void currency::confirmed(rpc::store_instant at)
 {
-    m_newest = std::max(m_newest, newest);
     m_at = std::max(m_at, at);
 }
 
-void currency::peer_confirmed(rpc::row_version newest, rpc::store_instant at)
-{
-    if (newest == m_newest)
-        m_at = std::max(m_at, at);
-}
-
 bool currency::is_current(const store_clock& clock, base::instant now) const
 {
     const auto latest = clock.latest(now);
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -43,6 +43,13 @@
   coveredAt @5 :UInt64;
   # How long the primary has not answered, in milliseconds; 0 when it answers.
   unreachableMs @6 :UInt32;
+  # The group's leadership row as the host knows it; version 0 without one.
+  rowVersion @7 :UInt64;
+  rowGeneration @8 :UInt64;
+  rowMoving @9 :Bool;
+  rowPrimary @10 :Text;
+  rowTerm @11 :UInt64;
+  rowHolder @12 :Text;
 }
 
 struct Report {
@@ -52,15 +59,14 @@
   number @2 :UInt64;
   # The host ends and relies on nothing any more.
   leaving @3 :Bool;
-  # Newest row of the fleet that the host knows, and the store's time in
-  # milliseconds at which there was no newer one.
-  newestRow @4 :UInt64;
-  confirmedAt @5 :UInt64;
-  demands @6 :List(Demand);
-  groups @7 :List(GroupReport);
+  # The store's time in milliseconds at which the rows were as the host knows
+  # them.
+  confirmedAt @4 :UInt64;
+  demands @5 :List(Demand);
+  groups @6 :List(GroupReport);
   # The host reached the store within the last second.
-  storeReachable @8 :Bool;
-  configurationVersion @9 :UInt64;
+  storeReachable @7 :Bool;
+  configurationVersion @8 :UInt64;
   # The store's time of the report, in milliseconds.
-  toldAt @10 :UInt64;
+  toldAt @9 :UInt64;
 }
