--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -76,6 +76,13 @@
         return m_runner;
     }
 
+    // The primary that this host would send new work to now.
+    [[nodiscard]] std::optional<base::endpoint_id>
+    primary(const base::group_id& group) const
+    {
+        return m_fleet.primary(group, m_links.m_clock.now());
+    }
+
     // A datagram of another host.
     void datagram_received(std::string_view bytes)
     {
--- /dev/null
+++ b/unittests/entry/fakes.hpp
@@ -0,0 +1,396 @@
+// Stand-ins for the links of an entry host, and hosts that share a store.
+#ifndef MAGNOLIASTACK_UNITTESTS_ENTRY_FAKES_HPP
+#define MAGNOLIASTACK_UNITTESTS_ENTRY_FAKES_HPP
+
+#include "magnoliastack/entry/host.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace entry_test
+{
+
+namespace base = magnoliastack::base;
+namespace catalogue = magnoliastack::catalogue;
+namespace entry = magnoliastack::entry;
+namespace rpc = magnoliastack::rpc;
+
+// Time of the test.
+struct fake_clock final : base::clock
+{
+    base::instant m_now = base::instant() + absl::Seconds(1000);
+
+    [[nodiscard]] base::instant now() const override
+    {
+        return m_now;
+    }
+    [[nodiscard]] std::int64_t unix_ms() const override
+    {
+        return absl::ToInt64Milliseconds(m_now - base::instant());
+    }
+};
+
+// What callers were answered, one word each: `row`, `done`, `err busy`,
+// `ready I`.
+struct fake_sessions final : rpc::session_link
+{
+    std::map<std::uint64_t, std::vector<std::string>> m_sent;
+    std::set<std::uint64_t> m_closed;
+
+    void row(rpc::session_number session, std::string_view row) override
+    {
+        m_sent[session.value()].push_back("row " + std::string(row));
+    }
+    void done(rpc::session_number session, std::string_view signature) override
+    {
+        m_sent[session.value()].push_back(
+            "done " + (signature.empty() ? "-" : std::string(signature)));
+    }
+    void failed(rpc::session_number session, rpc::statement_error error,
+                std::string_view /*text*/) override
+    {
+        m_sent[session.value()].push_back(std::string("err ") +
+                                          rpc::to_string(error));
+    }
+    void ready(rpc::session_number session,
+               rpc::transaction_state state) override
+    {
+        const char* names[] = {"ready I", "ready T", "ready E"};
+        m_sent[session.value()].emplace_back(names[static_cast<int>(state)]);
+    }
+    void close(rpc::session_number session) override
+    {
+        m_closed.insert(session.value());
+    }
+};
+
+// A request that an endpoint has received.
+struct sent_request
+{
+    base::connection_generation m_connection;
+    rpc::endpoint_request m_request;
+};
+
+// Connections to endpoints; the test answers.
+struct fake_endpoints final : rpc::statement_link
+{
+    std::map<base::connection_generation, rpc::connection_target> m_open;
+    std::vector<base::connection_generation> m_opening;
+    std::deque<sent_request> m_requests;
+
+    void open(base::connection_generation connection,
+              const rpc::connection_target& target) override
+    {
+        m_open[connection] = target;
+        m_opening.push_back(connection);
+    }
+    void send(base::connection_generation connection,
+              const rpc::endpoint_request& request) override
+    {
+        m_requests.push_back({connection, request});
+    }
+    void close(base::connection_generation connection) override
+    {
+        m_open.erase(connection);
+        std::erase(m_opening, connection);
+    }
+};
+
+// The platform's store and promotions, shared by all hosts of a test.
+struct fake_platform
+{
+    std::uint64_t m_version = 10;
+    rpc::configuration_ptr m_configuration;
+    std::vector<catalogue::endpoint_entry> m_entries;
+    std::map<std::string, rpc::fleet_row> m_rows;
+    std::vector<std::pair<base::endpoint_id, std::uint64_t>> m_promoted;
+};
+
+// One host's way to the store. Calls wait until the test carries them out.
+struct fake_store final : rpc::fleet_store
+{
+    fake_store(fake_platform& platform, fake_clock& clock)
+        : m_platform(platform), m_clock(clock)
+    {
+    }
+
+    [[nodiscard]] rpc::store_instant at() const
+    {
+        return rpc::store_instant(static_cast<std::uint64_t>(
+            absl::ToInt64Milliseconds(m_clock.m_now - base::instant())));
+    }
+    void read_configuration(
+        absl::Duration /*timeout*/,
+        callback<rpc::changes<rpc::configuration_ptr>> done) override
+    {
+        rpc::changes<rpc::configuration_ptr> all;
+        if (m_platform.m_configuration)
+            all.m_rows.push_back(m_platform.m_configuration);
+        finish(std::move(done), std::move(all));
+    }
+    void watch_configuration(
+        rpc::row_version /*version*/, absl::Duration /*wait*/,
+        absl::Duration timeout,
+        callback<rpc::changes<rpc::configuration_ptr>> done) override
+    {
+        read_configuration(timeout, std::move(done));
+    }
+    void read_endpoints(
+        absl::Duration /*timeout*/,
+        callback<rpc::changes<catalogue::endpoint_entry>> done) override
+    {
+        rpc::changes<catalogue::endpoint_entry> all;
+        all.m_rows = m_platform.m_entries;
+        finish(std::move(done), std::move(all));
+    }
+    void read_fleet(absl::Duration timeout,
+                    callback<rpc::changes<rpc::fleet_row>> done) override
+    {
+        watch_fleet({}, {}, timeout, std::move(done));
+    }
+    void watch_fleet(rpc::row_version version, absl::Duration /*wait*/,
+                     absl::Duration /*timeout*/,
+                     callback<rpc::changes<rpc::fleet_row>> done) override
+    {
+        rpc::changes<rpc::fleet_row> all;
+        for (const auto& [key, row] : m_platform.m_rows)
+            if (row.m_version > version)
+                all.m_rows.push_back(row);
+        finish(std::move(done), std::move(all));
+    }
+    void change_fleet(const rpc::fleet_change& change,
+                      absl::Duration /*timeout*/,
+                      callback<rpc::change_outcome> done) override
+    {
+        m_calls.emplace_back(
+            [this, change, done = std::move(done)]
+            {
+                if (!m_reachable)
+                {
+                    done(base::fail(base::error_code::unavailable, "away"));
+                    return;
+                }
+                rpc::change_outcome outcome;
+                outcome.m_applied = apply(change);
+                outcome.m_at = at();
+                outcome.m_version = rpc::row_version(m_platform.m_version);
+                done(outcome);
+            });
+    }
+
+    // Carries out the calls made so far.
+    void run()
+    {
+        auto calls = std::exchange(m_calls, {});
+        for (auto& call : calls)
+            call();
+    }
+
+    bool m_reachable = true;
+
+private:
+    template <typename Row>
+    void finish(callback<rpc::changes<Row>> done, rpc::changes<Row> all)
+    {
+        all.m_version = rpc::row_version(m_platform.m_version);
+        all.m_at = at();
+        m_calls.emplace_back(
+            [this, done = std::move(done), all = std::move(all)]
+            {
+                if (m_reachable)
+                    done(all);
+                else
+                    done(base::fail(base::error_code::deadline_exceeded,
+                                    "no answer"));
+            });
+    }
+
+    bool apply(const rpc::fleet_change& change)
+    {
+        for (const auto& [key, version] : change.m_expected)
+        {
+            const auto found = m_platform.m_rows.find(key);
+            const auto present = found == m_platform.m_rows.end()
+                                     ? rpc::row_version()
+                                     : found->second.m_version;
+            if (present != version)
+                return false;
+        }
+        ++m_platform.m_version;
+        for (const auto& [key, value] : change.m_writes)
+            m_platform.m_rows[key] = {key, value,
+                                      rpc::row_version(m_platform.m_version)};
+        return true;
+    }
+
+    fake_platform& m_platform;
+    fake_clock& m_clock;
+    std::vector<std::function<void()>> m_calls;
+};
+
+// The platform's promotions.
+struct fake_promotions final : rpc::promotion_link
+{
+    explicit fake_promotions(fake_platform& platform) : m_platform(platform)
+    {
+    }
+
+    void promote(const base::group_id& /*group*/,
+                 const base::endpoint_id& endpoint,
+                 const base::host_id& /*holder*/, fencing_token token,
+                 absl::Duration /*timeout*/,
+                 std::function<void(base::result<bool>)> done) override
+    {
+        m_platform.m_promoted.emplace_back(endpoint, token);
+        m_done.push_back(std::move(done));
+    }
+    void run()
+    {
+        auto ended = std::exchange(m_done, {});
+        for (auto& done : ended)
+            done(true);
+    }
+
+    fake_platform& m_platform;
+    std::vector<std::function<void(base::result<bool>)>> m_done;
+};
+
+// Datagrams on their way.
+struct fake_datagrams final : rpc::datagram_link
+{
+    std::vector<std::pair<std::string, std::string>> m_sent;
+
+    void send(const std::string& address, const std::string& bytes) override
+    {
+        m_sent.emplace_back(address, bytes);
+    }
+};
+
+// One host with its links.
+struct fake_host
+{
+    fake_host(const std::string& name, fake_platform& platform,
+              fake_clock& clock)
+        : m_address(name + ":1"), m_store(platform, clock),
+          m_promotions(platform),
+          m_host(options(name, m_address),
+                 {clock, m_sessions, m_endpoints, m_store, m_promotions,
+                  m_datagrams, m_metrics})
+    {
+    }
+
+    static entry::host_options options(const std::string& name,
+                                       const std::string& address)
+    {
+        entry::host_options result;
+        result.m_fleet.m_self = base::host_id(name);
+        result.m_fleet.m_incarnation = base::incarnation(1);
+        result.m_fleet.m_address = address;
+        return result;
+    }
+
+    std::string m_address;
+    fake_sessions m_sessions;
+    fake_endpoints m_endpoints;
+    fake_store m_store;
+    fake_promotions m_promotions;
+    fake_datagrams m_datagrams;
+    magnoliastack::metrics::registry m_metrics;
+    // False cuts the host off from its peers.
+    bool m_heard = true;
+    entry::host m_host;
+};
+
+// Hosts before one group of three endpoints, with one organisation.
+struct fleet_fixture
+{
+    explicit fleet_fixture(int hosts = 3)
+    {
+        auto config = std::make_shared<catalogue::configuration>();
+        config->m_version = base::configuration_version(1);
+        const base::group_id group("g");
+        config->m_groups[group] = {group, 30};
+        config->m_routes["stock"] = route(catalogue::consistency::bounded);
+        config->m_routes["settle"] = route(catalogue::consistency::primary);
+        config->m_routes["cuts"] =
+            route(catalogue::consistency::read_your_writes);
+        const base::organisation_id who("souq");
+        config->m_keys["key-1"] = who;
+        config->m_organisations[who] = {who, 1000, 1000};
+        config->m_idle_transaction = absl::Seconds(3);
+        m_platform.m_configuration = config;
+        for (const char* name : {"e0", "e1", "e2"})
+        {
+            catalogue::endpoint_entry item;
+            item.m_id = base::endpoint_id(name);
+            item.m_group = group;
+            item.m_address = std::string(name) + ":5";
+            item.m_slots = 3;
+            item.m_primary = item.m_id.str() == "e0";
+            m_platform.m_entries.push_back(item);
+        }
+        for (int index = 0; index < hosts; ++index)
+            m_hosts.push_back(std::make_unique<fake_host>(
+                "h" + std::to_string(index), m_platform, m_clock));
+        run(absl::Seconds(2));
+    }
+
+    static catalogue::route route(catalogue::consistency consistency)
+    {
+        catalogue::route result;
+        result.m_group = base::group_id("g");
+        result.m_consistency = consistency;
+        result.m_statement_timeout = absl::Seconds(1);
+        result.m_max_staleness = absl::Milliseconds(1500);
+        return result;
+    }
+
+    // Lets time pass in steps of 50 ms, with datagrams and store calls.
+    void run(absl::Duration span)
+    {
+        for (absl::Duration passed; passed < span;
+             passed += absl::Milliseconds(50))
+        {
+            m_clock.m_now = m_clock.m_now + absl::Milliseconds(50);
+            for (auto& host : m_hosts)
+                host->m_host.tick();
+            exchange();
+        }
+    }
+
+    void exchange()
+    {
+        for (auto& host : m_hosts)
+        {
+            host->m_store.run();
+            host->m_promotions.run();
+        }
+        for (auto& from : m_hosts)
+            for (const auto& [address, bytes] :
+                 std::exchange(from->m_datagrams.m_sent, {}))
+                for (auto& to : m_hosts)
+                    if (to->m_address == address && to->m_heard &&
+                        from->m_heard)
+                        to->m_host.datagram_received(bytes);
+    }
+
+    fake_host& host(std::size_t index)
+    {
+        return *m_hosts[index];
+    }
+
+    fake_clock m_clock;
+    fake_platform m_platform;
+    std::vector<std::unique_ptr<fake_host>> m_hosts;
+};
+
+} // namespace entry_test
+
+#endif
--- /dev/null
+++ b/unittests/entry/statement_test.cpp
@@ -0,0 +1,285 @@
+#include "driver.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace entry_test;
+using rpc::statement_error;
+using rpc::statement_kind;
+using rpc::transaction_state;
+using action = rpc::endpoint_request::action;
+
+namespace
+{
+
+// One host with a session on each route: 1 bounded, 2 primary, 3 own writes.
+struct statement_fixture : fleet_fixture
+{
+    driver m_driver{host(0)};
+
+    statement_fixture() : fleet_fixture(1)
+    {
+        m_driver.start(1, "stock");
+        m_driver.start(2, "settle");
+        m_driver.start(3, "cuts");
+        for (const std::uint64_t session : {1, 2, 3})
+            m_driver.take_answers(session);
+    }
+
+    // A read at the primary, which shows the end of its log.
+    void show_log_end(base::log_point position)
+    {
+        m_driver.say(2, statement_kind::read, "READ x");
+        const auto request = m_driver.next_statement();
+        cr_assert(request.has_value());
+        m_driver.succeed(*request, transaction_state::idle, position);
+        m_driver.take_answers(2);
+    }
+};
+
+} // namespace
+
+Test(reads, without_a_known_log_end_the_primary_is_asked)
+{
+    statement_fixture f;
+    f.m_driver.say(1, statement_kind::read, "READ a");
+    const auto request = f.m_driver.next_statement();
+    cr_assert(request.has_value());
+    cr_assert_eq(f.m_driver.endpoint_of(*request), "e0");
+}
+
+Test(reads, a_replica_is_asked_with_the_log_point_that_is_fresh_enough)
+{
+    statement_fixture f;
+    f.show_log_end(point(1, 100));
+    f.run(absl::Milliseconds(500));
+    // The primary is slow, so a replica is chosen.
+    f.host(0).m_host.sessions().session_closed(rpc::session_number(2));
+    for (int count = 0; count < 3; ++count)
+    {
+        f.m_driver.say(1, statement_kind::read, "READ a");
+        const auto request = f.m_driver.next_statement();
+        cr_assert(request.has_value());
+        if (f.m_driver.endpoint_of(*request) != "e0")
+        {
+            cr_assert(request->m_request.m_after.has_value());
+            cr_assert(*request->m_request.m_after == point(1, 100));
+            return;
+        }
+        f.m_clock.m_now = f.m_clock.m_now + absl::Milliseconds(150);
+        f.m_driver.succeed(*request, transaction_state::idle, point(1, 100));
+    }
+    cr_assert_fail("no replica was asked");
+}
+
+// In quiet-1 replicas that had lagged for 6 s were never asked again, and the
+// primary of the busiest group served all reads for the rest of the day.
+Test(reads, a_replica_that_lagged_is_asked_again)
+{
+    using magnoliastack::entry::endpoint_health;
+    statement_fixture f;
+    f.show_log_end(point(1, 200));
+    auto asked_replicas = [&f](absl::Duration span)
+    {
+        int count = 0;
+        for (absl::Duration passed; passed < span;
+             passed += absl::Milliseconds(50))
+        {
+            f.run(absl::Milliseconds(50));
+            f.m_driver.say(1, statement_kind::read, "READ a");
+            while (const auto request = f.m_driver.next_statement())
+            {
+                if (f.m_driver.endpoint_of(*request) == "e0")
+                {
+                    f.m_clock.m_now = f.m_clock.m_now + absl::Milliseconds(60);
+                    f.m_driver.succeed(*request, transaction_state::idle,
+                                       point(1, 200));
+                    continue;
+                }
+                ++count;
+                f.m_driver.fail(*request, statement_error::lagging,
+                                transaction_state::idle, point(1, 50));
+            }
+        }
+        return count;
+    };
+    cr_assert_gt(asked_replicas(absl::Seconds(1)), 0);
+    cr_assert_gt(asked_replicas(absl::Seconds(1)), 0);
+}
+
+Test(reads, own_writes_raise_the_log_point)
+{
+    statement_fixture f;
+    f.show_log_end(point(1, 200));
+    f.m_driver.say(3, statement_kind::write, "WRITE a b");
+    const auto write = f.m_driver.next_statement();
+    cr_assert(write.has_value());
+    cr_assert_eq(f.m_driver.endpoint_of(*write), "e0");
+    f.m_clock.m_now = f.m_clock.m_now + absl::Milliseconds(300);
+    f.m_driver.succeed(*write, transaction_state::idle, point(1, 250));
+    f.run(absl::Milliseconds(50));
+    f.m_driver.say(3, statement_kind::read, "READ a");
+    const auto read = f.m_driver.next_statement();
+    cr_assert(read.has_value());
+    cr_assert_neq(f.m_driver.endpoint_of(*read), "e0");
+    cr_assert(*read->m_request.m_after >= point(1, 250));
+}
+
+Test(reads, a_lost_read_is_repeated_elsewhere)
+{
+    statement_fixture f;
+    f.m_driver.say(1, statement_kind::read, "READ a");
+    const auto request = f.m_driver.next_statement();
+    f.m_driver.lose(*request);
+    f.run(absl::Milliseconds(100));
+    const auto again = f.m_driver.next_statement();
+    cr_assert(again.has_value());
+    f.m_driver.succeed(*again);
+    cr_assert(f.m_driver.was_answered(1, "done signature"));
+}
+
+Test(writes, a_lost_single_write_is_unknown_and_not_repeated)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    const auto request = f.m_driver.next_statement();
+    f.m_driver.lose(*request);
+    cr_assert(f.m_driver.was_answered(2, "err unknown_outcome"));
+    f.run(absl::Milliseconds(200));
+    cr_assert_not(f.m_driver.next_statement().has_value());
+}
+
+Test(writes, a_refused_write_that_did_not_run_is_repeated)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    auto request = f.m_driver.next_statement();
+    f.m_driver.fail(*request, statement_error::busy);
+    f.run(absl::Milliseconds(100));
+    request = f.m_driver.next_statement();
+    cr_assert(request.has_value());
+    f.m_driver.succeed(*request);
+    cr_assert(f.m_driver.was_answered(2, "done signature"));
+}
+
+// A statement behind a refused begin would run outside its transaction.
+Test(transactions, no_statement_is_sent_before_the_begin_is_answered)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::begin, "BEGIN");
+    cr_assert(f.m_driver.was_answered(2, "ready T"));
+    f.m_driver.say(2, statement_kind::read, "READ a");
+    f.m_driver.accept();
+    const auto begin = f.m_driver.next();
+    cr_assert(begin.has_value());
+    cr_assert(begin->m_request.m_action == action::begin);
+    cr_assert_not(f.m_driver.next().has_value());
+    f.m_driver.fail(*begin, statement_error::read_only);
+    f.run(absl::Milliseconds(20));
+    const auto after = f.m_driver.next();
+    cr_assert(!after || after->m_request.m_action == action::begin,
+              "only another begin may follow a refused one");
+}
+
+Test(transactions, a_lost_commit_of_a_write_is_unknown)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::begin, "BEGIN");
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    auto request = f.m_driver.next_statement();
+    f.m_driver.succeed(*request, transaction_state::open);
+    f.m_driver.say(2, statement_kind::commit, "COMMIT");
+    request = f.m_driver.next_statement(transaction_state::open);
+    f.m_driver.lose(*request);
+    cr_assert(f.m_driver.was_answered(2, "err unknown_outcome"));
+}
+
+Test(transactions, a_lost_commit_without_a_write_is_aborted)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::begin, "BEGIN");
+    f.m_driver.say(2, statement_kind::read, "READ a");
+    auto request = f.m_driver.next_statement();
+    f.m_driver.succeed(*request, transaction_state::open);
+    f.m_driver.say(2, statement_kind::commit, "COMMIT");
+    request = f.m_driver.next_statement(transaction_state::open);
+    f.m_driver.lose(*request);
+    cr_assert(f.m_driver.was_answered(2, "err aborted"));
+}
+
+// The statements before the loss are gone; a later one must not begin anew.
+Test(transactions, a_connection_lost_in_a_pause_aborts_the_transaction)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::begin, "BEGIN");
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    const auto request = f.m_driver.next_statement();
+    f.m_driver.succeed(*request, transaction_state::open);
+    f.m_driver.take_answers(2);
+    f.m_driver.lose(*request);
+    f.m_driver.say(2, statement_kind::write, "WRITE c d");
+    cr_assert(f.m_driver.was_answered(2, "err aborted"));
+    cr_assert(f.m_driver.was_answered(2, "ready E"));
+    f.m_driver.accept();
+    cr_assert_not(f.m_driver.next_statement().has_value());
+}
+
+Test(transactions, an_idle_transaction_frees_its_connection)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::begin, "BEGIN");
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    const auto request = f.m_driver.next_statement();
+    f.m_driver.succeed(*request, transaction_state::open);
+    f.run(absl::Milliseconds(3200));
+    const auto roll_back = f.m_driver.next();
+    cr_assert(roll_back.has_value());
+    cr_assert(roll_back->m_request.m_action == action::roll_back);
+    f.m_driver.succeed(*roll_back);
+    f.m_driver.take_answers(2);
+    f.m_driver.say(2, statement_kind::commit, "COMMIT");
+    cr_assert(f.m_driver.was_answered(2, "err aborted"));
+}
+
+Test(sessions, values_of_another_session_are_dropped_from_a_connection)
+{
+    statement_fixture f;
+    f.m_driver.set_value(2, "zone", "sohar");
+    f.m_driver.say(2, statement_kind::read, "READ a");
+    f.m_driver.accept();
+    const auto set = f.m_driver.next();
+    cr_assert(set && set->m_request.m_action == action::set_value);
+    f.m_driver.succeed(*set);
+    const auto read = f.m_driver.next();
+    f.m_driver.succeed(*read);
+    f.m_driver.start(9, "settle");
+    f.m_driver.say(9, statement_kind::read, "READ b");
+    const auto reset = f.m_driver.next();
+    cr_assert(reset && reset->m_request.m_action == action::reset);
+    cr_assert(reset->m_connection == read->m_connection);
+}
+
+Test(sessions, a_withdrawn_key_ends_the_session_at_its_next_operation)
+{
+    statement_fixture f;
+    auto config = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    config->m_version = base::configuration_version(2);
+    config->m_keys.clear();
+    f.m_platform.m_configuration = config;
+    f.run(absl::Milliseconds(200));
+    f.m_driver.say(2, statement_kind::read, "READ a");
+    cr_assert(f.m_driver.was_answered(2, "err unauthenticated"));
+    cr_assert(f.host(0).m_sessions.m_closed.contains(2));
+}
+
+Test(sessions, an_older_configuration_changes_nothing)
+{
+    statement_fixture f;
+    auto config = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    config->m_keys.clear();
+    f.m_platform.m_configuration = config;
+    f.run(absl::Milliseconds(200));
+    f.m_driver.start(8, "settle");
+    cr_assert(f.m_driver.was_answered(8, "ready I"));
+}
--- /dev/null
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -0,0 +1,132 @@
+#include "magnoliastack/fleet/members.hpp"
+#include "magnoliastack/fleet/report.hpp"
+#include "magnoliastack/fleet/rows.hpp"
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace magnoliastack::fleet;
+namespace base = magnoliastack::base;
+namespace rpc = magnoliastack::rpc;
+
+namespace
+{
+
+host_report sample()
+{
+    host_report report;
+    report.m_host = base::host_id("h1");
+    report.m_incarnation = base::incarnation(5);
+    report.m_number = 9;
+    report.m_confirmed_at = rpc::store_instant(77);
+    report.m_demand.push_back({base::organisation_id("souq"), 12.5, 3});
+    group_report group;
+    group.m_group = base::group_id("g");
+    group.m_stopped_generation = 4;
+    group.m_unreachable = absl::Milliseconds(350);
+    group.m_row.m_group = group.m_group;
+    group.m_row.m_phase = leadership_phase::moving;
+    group.m_row.m_generation = 4;
+    group.m_row_version = rpc::row_version(31);
+    report.m_groups.push_back(group);
+    return report;
+}
+
+member_row row(const std::string& host, std::uint64_t incarnation)
+{
+    return {base::host_id(host), base::incarnation(incarnation), host + ":1",
+            base::failure_domain_id("d"), std::nullopt};
+}
+
+base::instant at(int milliseconds)
+{
+    return base::instant() + absl::Milliseconds(milliseconds);
+}
+
+} // namespace
+
+Test(report, what_is_told_is_what_is_heard)
+{
+    const auto decoded = decode(encode(datagram(sample())));
+    cr_assert(decoded.has_value());
+    const auto& report = std::get<host_report>(*decoded);
+    cr_assert_eq(report.m_number, 9);
+    cr_assert_float_eq(report.m_demand.at(0).m_rate, 12.5, 0.001);
+    cr_assert_eq(report.m_groups.at(0).m_stopped_generation, 4);
+    cr_assert(report.m_groups.at(0).m_row.m_phase == leadership_phase::moving);
+    cr_assert_eq(report.m_groups.at(0).m_row_version.value(), 31);
+}
+
+Test(report, damaged_bytes_never_stop_the_process)
+{
+    std::mt19937 random(11);
+    const std::string whole = encode(datagram(sample()));
+    for (int run = 0; run < 3000; ++run)
+    {
+        std::string bytes = whole.substr(0, random() % (whole.size() + 1));
+        for (int count = 0; count < 3 && !bytes.empty(); ++count)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        // The verdict is free; the process has to survive it.
+        static_cast<void>(decode(bytes));
+    }
+}
+
+Test(rows, each_kind_is_told_from_the_others)
+{
+    duty_row duty{base::host_id("h"), base::incarnation(2), 7,
+                  rpc::store_instant(99)};
+    const rpc::fleet_row stored{duty_key, encode(duty), rpc::row_version(1)};
+    cr_assert_eq((*decode_duty(stored))->m_token, 7);
+    cr_assert_not(decode_member(stored)->has_value());
+    cr_assert_not(decode_leadership(stored)->has_value());
+}
+
+Test(rows, a_row_of_another_writer_is_an_error_and_no_crash)
+{
+    for (const char* value :
+         {"", "{", "[]", "{\"generation\":\"x\"}", "{\"generation\":-1}"})
+        cr_assert_not(decode_leadership({"group/g", value, rpc::row_version(1)})
+                          .has_value());
+}
+
+Test(members, a_report_of_an_ended_process_is_ignored)
+{
+    member_book book(base::host_id("h0"), base::incarnation(1));
+    book.row_changed(row("h1", 6), rpc::row_version(2), at(0));
+    host_report old = sample();
+    cr_assert_not(book.report_received(old, at(10)));
+    old.m_incarnation = base::incarnation(6);
+    cr_assert(book.report_received(old, at(20)));
+    cr_assert_not(book.report_received(old, at(30)), "the same number again");
+}
+
+Test(members, hosts_marked_as_out_are_told_nothing)
+{
+    member_book book(base::host_id("h0"), base::incarnation(1));
+    book.row_changed(row("h1", 5), rpc::row_version(2), at(0));
+    cr_assert_eq(book.targets().size(), 1);
+    auto out = row("h1", 5);
+    out.m_out_since = rpc::store_instant(50);
+    book.row_changed(out, rpc::row_version(3), at(10));
+    cr_assert(book.targets().empty());
+}
+
+Test(members, a_large_fleet_is_told_in_turns)
+{
+    member_options options;
+    options.m_fan_out = 4;
+    member_book book(base::host_id("h00"), base::incarnation(1), options);
+    for (int host = 0; host < 20; ++host)
+        book.row_changed(row("h" + std::to_string(host + 10), 1),
+                         rpc::row_version(host + 1), at(0));
+    std::vector<std::string> told;
+    for (int round = 0; round < 5; ++round)
+        for (const auto& address : book.targets())
+            told.push_back(address);
+    std::sort(told.begin(), told.end());
+    told.erase(std::unique(told.begin(), told.end()), told.end());
+    cr_assert_eq(told.size(), 20);
+}
