--- a/include/magnoliastack/cli/exit_code.hpp
+++ b/include/magnoliastack/cli/exit_code.hpp
@@ -6,7 +6,7 @@
 {
 
 // What a command came to. The numbers are part of the interface and documented
-// in docs/operations.md.
+// in docs/OPERATIONS.md.
 enum class exit_code
 {
     success = 0,
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -217,7 +217,7 @@
     void work_lost(session& who, const base::endpoint_id& endpoint,
                    base::instant now);
     bool try_again(session& who, const base::endpoint_id& endpoint,
-                   base::instant now);
+                   const char* cause, base::instant now);
     void finish(session& who, std::optional<rpc::statement_error> error,
                 std::string_view text, base::instant now);
     void endpoint_failed(endpoint_state& endpoint, const char* cause,
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -209,7 +209,7 @@
     const statement_error error = *on.m_failure;
     on.m_failure.reset();
     const base::endpoint_id endpoint = on.m_endpoint;
-    const bool again = try_again(who, endpoint, now);
+    const bool again = try_again(who, endpoint, to_string(error), now);
     on.m_owner.reset();
     m_metrics.counter(std::string("retried.begin.") + to_string(error)).add();
     if (again)
@@ -242,7 +242,7 @@
     if (error == statement_error::unknown_prepared)
         on.m_prepared.clear();
     if (error && single && is_not_run(*error) &&
-        try_again(who, endpoint_id, now))
+        try_again(who, endpoint_id, to_string(*error), now))
     {
         m_metrics.counter(std::string("retried.") + to_string(*error)).add();
         if (*error == statement_error::busy)
@@ -262,6 +262,18 @@
         who.m_own_writes = *position;
         who.m_own_group = who.m_route.m_group;
     }
+    if (!error)
+        m_log.info(
+            "statement_done",
+            {{"request", what.m_statement.m_id},
+             {"organisation", who.m_organisation},
+             {"group", who.m_route.m_group},
+             {"endpoint", endpoint_id},
+             {"connection", on.m_number},
+             {"after", what.m_after ? what.m_after->m_position.value() : 0},
+             {"tries", what.m_tried.size()},
+             {"waited", what.m_sent - what.m_arrived},
+             {"ran", now - what.m_sent}});
     const bool ends = single || commit;
     if (!ends && !error && state == transaction_state::open)
     {
@@ -368,7 +380,7 @@
                "the connection of the transaction was lost", now);
         return;
     }
-    if (try_again(who, endpoint, now))
+    if (try_again(who, endpoint, "connection_lost", now))
     {
         what.m_not_before = now + m_options.m_busy_pause;
         wait(who, now);
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -189,6 +189,17 @@
         return false;
     }
     m_metrics.counter("refused.no_endpoint").add();
+    const auto newest = group->m_bounds.newest();
+    const auto primary = m_primaries.primary(group->m_id, now);
+    m_log.info("no_endpoint",
+               {{"request", who.m_work->m_statement.m_id},
+                {"group", group->m_id},
+                {"primary", primary.value_or(base::endpoint_id())},
+                {"primary_only", request.m_primary_only},
+                {"candidates", choices.size()},
+                {"log_end_age",
+                 newest ? now - newest->m_sent : absl::InfiniteDuration()},
+                {"staleness", who.m_route.m_max_staleness}});
     finish(who, rpc::statement_error::busy,
            request.m_primary_only ? "no primary is known"
                                   : "no endpoint is fresh enough",
@@ -440,9 +451,14 @@
 
 bool statement_runner::try_again(session& who,
                                  const base::endpoint_id& endpoint,
-                                 base::instant now)
+                                 const char* cause, base::instant now)
 {
     work& what = *who.m_work;
+    m_log.info("statement_retried", {{"request", what.m_statement.m_id},
+                                     {"endpoint", endpoint},
+                                     {"cause", cause},
+                                     {"tries", what.m_tried.size() + 1},
+                                     {"age", now - what.m_arrived}});
     what.m_tried.push_back(endpoint);
     if (what.m_tried.size() >= m_options.m_largest_tries ||
         now >= what.m_deadline)
--- a/tools/magnolia-proxy/main.cpp
+++ b/tools/magnolia-proxy/main.cpp
@@ -22,7 +22,7 @@
 namespace proxy = magnoliastack::proxy;
 namespace proxy_settings = magnoliastack::proxy_settings;
 
-// Exit codes; docs/operations.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 constexpr int exit_start_failed = 1;
 constexpr int exit_wrong_settings = 2;
 
