--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -22,8 +22,10 @@
 struct follower_options
 {
     // An unanswered watch is renewed after this. A connection that has gone
-    // silent hides changes for as long, but peers tell of them.
-    absl::Duration m_watch_wait = absl::Seconds(20);
+    // silent hides changes for as long, but peers tell of most of them.
+    absl::Duration m_watch_wait = absl::Seconds(4);
+    // The same in a large fleet, whose peers confirm the rows all the time.
+    absl::Duration m_large_watch_wait = absl::Seconds(20);
     // The same for a host without peers.
     absl::Duration m_lone_watch_wait = absl::Seconds(2);
     // The fleet's rows are read at once when neither the watch nor a peer has
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -166,7 +166,11 @@
     void update_homes(base::instant now);
     void register_self(base::instant now);
     void mark_silent(base::instant now);
-    void change_members(rpc::fleet_change change);
+    void change_members(const rpc::fleet_change& change);
+    void change_rows(const rpc::fleet_change& change, absl::Duration timeout,
+                     rpc::fleet_store::callback<rpc::change_outcome> done);
+    void take_member(const fleet::member_row& row, rpc::row_version version,
+                     base::instant now);
     void stop_moving(const base::group_id& id, group_leadership& group,
                      base::instant now);
     void replace_primary(const base::group_id& id, group_leadership& group,
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -166,6 +166,8 @@
 
 absl::Duration fleet_follower::watch_wait() const
 {
+    if (m_fleet_size > m_options.m_large_fleet)
+        return m_options.m_large_watch_wait;
     return m_fleet_size > 1 ? m_options.m_watch_wait
                             : m_options.m_lone_watch_wait;
 }
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -176,7 +176,7 @@
         if (const auto* change = std::get_if<handover::change_rows>(&action))
         {
             m_links.m_metrics.counter("store.calls.leadership").add();
-            m_links.m_store.change_fleet(
+            change_rows(
                 change->m_change, m_options.m_promotion.m_change_timeout,
                 [this, id](const base::result<rpc::change_outcome>& result)
                 {
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -55,21 +55,8 @@
         return;
     }
     if (*member)
-    {
-        const fleet::member* known = m_members.find((*member)->m_host);
-        if (known != nullptr &&
-            (known->m_row.m_incarnation != (*member)->m_incarnation ||
-             (*member)->m_out_since))
-            m_shares.ended((*member)->m_host);
-        m_members.row_changed(**member, row.m_version, now);
-        m_shares.set_fleet_size(m_members.size());
-        m_log.info("member_changed",
-                   {{"member", (*member)->m_host},
-                    {"incarnation", (*member)->m_incarnation},
-                    {"out", (*member)->m_out_since.has_value()},
-                    {"version", row.m_version}});
-    }
-    if (*duty)
+        take_member(**member, row.m_version, now);
+    if (*duty && row.m_version > m_duty_version)
     {
         m_duty = **duty;
         m_duty_version = row.m_version;
@@ -78,6 +65,23 @@
         take_leadership(**leadership, row.m_version, at, now);
 }
 
+void fleet_service::take_member(const fleet::member_row& row,
+                                rpc::row_version version, base::instant now)
+{
+    const fleet::member* known = m_members.find(row.m_host);
+    if (known != nullptr && known->m_version >= version)
+        return;
+    if (known != nullptr &&
+        (known->m_row.m_incarnation != row.m_incarnation || row.m_out_since))
+        m_shares.ended(row.m_host);
+    m_members.row_changed(row, version, now);
+    m_shares.set_fleet_size(m_members.size());
+    m_log.info("member_changed", {{"member", row.m_host},
+                                  {"incarnation", row.m_incarnation},
+                                  {"out", row.m_out_since.has_value()},
+                                  {"version", version}});
+}
+
 // A row may come from the store and from peers, in any order.
 void fleet_service::take_leadership(const fleet::leadership_row& row,
                                     rpc::row_version version,
@@ -258,18 +262,37 @@
         {{{key, silent.front()->m_version}}, {{key, fleet::encode(row)}}});
 }
 
-void fleet_service::change_members(rpc::fleet_change change)
+void fleet_service::change_members(const rpc::fleet_change& change)
 {
     m_member_change_running = true;
     m_links.m_metrics.counter("store.calls.member").add();
+    change_rows(change, m_options.m_change_timeout,
+                [this](const base::result<rpc::change_outcome>& result)
+                {
+                    m_member_change_running = false;
+                    if (!result)
+                        m_log.warning("member_change_failed",
+                                      {{"reason", result.error().m_message}});
+                });
+}
+
+// An applied change is known from its answer: a watch may be silent.
+void fleet_service::change_rows(
+    const rpc::fleet_change& change, absl::Duration timeout,
+    rpc::fleet_store::callback<rpc::change_outcome> done)
+{
     m_links.m_store.change_fleet(
-        change, m_options.m_change_timeout,
-        [this](const base::result<rpc::change_outcome>& result)
+        change, timeout,
+        [this, change, done = std::move(done)](
+            const base::result<rpc::change_outcome>& result)
         {
-            m_member_change_running = false;
-            if (!result)
-                m_log.warning("member_change_failed",
-                              {{"reason", result.error().m_message}});
+            const auto now = m_links.m_clock.now();
+            if (result && result->m_applied)
+                for (const auto& [key, value] : change.m_writes)
+                    row_changed({key, value, result->m_version}, result->m_at,
+                                now);
+            done(result);
+            follow_leadership(now);
         });
 }
 
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -159,17 +159,15 @@
                      absl::Duration /*timeout*/,
                      callback<rpc::changes<rpc::fleet_row>> done) override
     {
-        rpc::changes<rpc::fleet_row> all;
-        for (const auto& [key, row] : m_platform.m_rows)
-            if (row.m_version > version)
-                all.m_rows.push_back(row);
-        finish(std::move(done), std::move(all));
+        if (m_watch_silent)
+            return;
+        finish(std::move(done), rows_after(version));
     }
     void
     read_fleet_changes(rpc::row_version version, absl::Duration timeout,
                        callback<rpc::changes<rpc::fleet_row>> done) override
     {
-        watch_fleet(version, {}, timeout, std::move(done));
+        finish(std::move(done), rows_after(version));
     }
     void change_fleet(const rpc::fleet_change& change,
                       absl::Duration /*timeout*/,
@@ -200,8 +198,20 @@
     }
 
     bool m_reachable = true;
+    // The watch's connection has gone silent; other calls are answered.
+    bool m_watch_silent = false;
 
 private:
+    [[nodiscard]] rpc::changes<rpc::fleet_row>
+    rows_after(rpc::row_version version) const
+    {
+        rpc::changes<rpc::fleet_row> all;
+        for (const auto& [key, row] : m_platform.m_rows)
+            if (row.m_version > version)
+                all.m_rows.push_back(row);
+        return all;
+    }
+
     template <typename Row>
     void finish(callback<rpc::changes<Row>> done, rpc::changes<Row> all)
     {
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -155,6 +155,22 @@
     cr_assert_geq(f.m_platform.m_promoted.size(), 1);
 }
 
+// On Muscat trouble-1 the holder's watch hung after an outage, and its claim
+// was given up because its row did not come back.
+Test(fleet, a_silent_watch_does_not_stop_a_promotion)
+{
+    fleet_fixture f;
+    for (std::size_t host = 0; host < 3; ++host)
+    {
+        uses_primary(f, host, 1);
+        f.host(host).m_store.m_watch_silent = true;
+    }
+    f.run(absl::Milliseconds(200));
+    crash_primary(f);
+    run_without_primary(f, absl::Milliseconds(1200));
+    cr_assert_geq(f.m_platform.m_promoted.size(), 1);
+}
+
 Test(fleet, promotions_of_one_holder_carry_the_same_token)
 {
     fleet_fixture f;
