--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -164,7 +164,7 @@
         finish(std::move(done), rows_after(version));
     }
     void
-    read_fleet_changes(rpc::row_version version, absl::Duration timeout,
+    read_fleet_changes(rpc::row_version version, absl::Duration /*timeout*/,
                        callback<rpc::changes<rpc::fleet_row>> done) override
     {
         finish(std::move(done), rows_after(version));
