--- /dev/null
+++ b/test/support/line_platform.hpp
@@ -0,0 +1,36 @@
+// A stand-in for the users' platform: a store of rows over HTTP and one
+// database endpoint in the line protocol, both on loopback.
+#ifndef MAGNOLIASTACK_TEST_SUPPORT_LINE_PLATFORM_HPP
+#define MAGNOLIASTACK_TEST_SUPPORT_LINE_PLATFORM_HPP
+
+#include <memory>
+#include <string>
+
+namespace magnoliastack::test
+{
+
+// Serves on threads of its own until it is destroyed. Its configuration has
+// the database `stock`, the key `key-1` of the organisation `souq`, and the
+// primary `e0` of the group `g`.
+class line_platform
+{
+public:
+    line_platform();
+    ~line_platform();
+
+    line_platform(const line_platform&) = delete;
+    line_platform& operator=(const line_platform&) = delete;
+
+    [[nodiscard]] std::string store_address() const;
+
+    // All that the endpoint was sent, one line each.
+    [[nodiscard]] std::string endpoint_received() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace magnoliastack::test
+
+#endif
