Reinstate a primary that is back before its release

Change: a holder that waits for the release and hears the old primary gives the group back; nothing was promoted yet. Two tests; the first fails without it (the state did not exist).

--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -146,6 +146,10 @@
     // Sessions that run a statement or a transaction on the endpoint.
     [[nodiscard]] std::size_t
     in_flight(const base::endpoint_id& endpoint) const;
+    // True when the endpoint is listed, stays, and has answered after the
+    // instant.
+    [[nodiscard]] bool has_answered_since(const base::endpoint_id& endpoint,
+                                          base::instant since) const;
     // How long the endpoint has not answered; zero when it answers.
     [[nodiscard]] absl::Duration
     unreachable_for(const base::endpoint_id& endpoint, base::instant now) const;
--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -79,6 +79,8 @@
     base::endpoint_id m_primary;
     // No host uses the old primary any more.
     bool m_released = false;
+    // The old primary has answered this host since the claim.
+    bool m_primary_answers = false;
     // Endpoints that could lead: listed, not leaving, answering.
     std::vector<base::endpoint_id> m_candidates;
     // Bounds of the store's time now.
@@ -131,6 +133,8 @@
                    base::instant now);
     void tick_claiming(const promotion_inputs& inputs, actions& out,
                        base::instant now);
+    void reinstate(const promotion_inputs& inputs, actions& out,
+                   base::instant now);
     void tick_choosing(const promotion_inputs& inputs, actions& out,
                        base::instant now);
     void tick_promoting(const promotion_inputs& inputs, actions& out,
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -111,6 +111,8 @@
                           ? group.m_row->m_primary
                           : initial_primary(id).value_or(base::endpoint_id());
     given.m_released = is_released(id, group, now);
+    given.m_primary_answers =
+        m_runner->has_answered_since(given.m_primary, group.m_changed);
     for (const auto& entry : m_entries)
     {
         if (entry.m_group != id || entry.m_leaving ||
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -120,6 +120,15 @@
     return now - endpoint->m_failed_since;
 }
 
+bool statement_runner::has_answered_since(const base::endpoint_id& id,
+                                          base::instant since) const
+{
+    const endpoint_state* endpoint = find_endpoint(id);
+    return endpoint != nullptr && endpoint->m_listed && !endpoint->m_leaving &&
+           endpoint->m_health == endpoint_health::serving &&
+           endpoint->m_heard > since;
+}
+
 void statement_runner::forgive_pause(base::instant now)
 {
     const auto last = std::exchange(m_last_tick, now);
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -18,10 +18,11 @@
 
 statechart::chart load_chart()
 {
-    auto loaded = statechart::load(
-        statechart::embedded::promotion,
-        {"needed", "claimed", "released", "chosen", "promoted", "refused",
-         "unanswered", "confirmed", "unconfirmed", "published", "abandoned"});
+    auto loaded = statechart::load(statechart::embedded::promotion,
+                                   {"needed", "claimed", "recovered",
+                                    "released", "chosen", "promoted", "refused",
+                                    "unanswered", "confirmed", "unconfirmed",
+                                    "published", "abandoned"});
     MAGNOLIASTACK_INVARIANT(loaded.has_value(),
                             "the embedded promotion chart is well formed");
     return *std::move(loaded);
@@ -83,7 +84,10 @@
         return out;
     }
     renew(inputs, out);
-    if (state == "releasing" && inputs.m_released)
+    if (state == "releasing" && inputs.m_primary_answers &&
+        m_need == need::failed)
+        reinstate(inputs, out, now);
+    else if (state == "releasing" && inputs.m_released)
         fire("released", inputs, out, now);
     else if (state == "choosing")
         tick_choosing(inputs, out, now);
@@ -118,6 +122,16 @@
         fire("abandoned", inputs, out, now);
 }
 
+// Nothing has been promoted yet, so the primary that is back may go on: a new
+// one would take longer and lose what was not replicated.
+void promotion::reinstate(const promotion_inputs& inputs, actions& out,
+                          base::instant now)
+{
+    m_candidate = m_old;
+    m_term = inputs.m_leadership->m_term;
+    fire("recovered", inputs, out, now);
+}
+
 void promotion::tick_choosing(const promotion_inputs& inputs, actions& out,
                               base::instant now)
 {
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -239,6 +239,40 @@
     cr_assert_eq(f.m_promotion.state(), "choosing");
 }
 
+// Incident inc-0298: a failure domain was cut off for 5.5 s, the wait for its
+// hosts took 5.4 s, and the groups stayed without a primary for a promotion
+// longer although theirs was back.
+Test(promotion, a_primary_that_is_back_before_the_release_is_reinstated)
+{
+    promotion_fixture f;
+    f.step();
+    f.apply();
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "releasing");
+    f.m_inputs.m_primary_answers = true;
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+    f.apply();
+    cr_assert_eq(f.m_inputs.m_leadership->m_primary, old_primary);
+    cr_assert(f.m_inputs.m_leadership->m_phase ==
+              fleet::leadership_phase::serving);
+    f.step();
+    cr_assert(f.m_promotion.is_idle());
+    cr_assert_not(f.sent<promote_endpoint>().has_value());
+}
+
+Test(promotion, a_planned_change_is_not_called_off_by_an_answer)
+{
+    promotion_fixture f;
+    f.m_inputs.m_need = need::planned;
+    f.step();
+    f.apply();
+    f.step();
+    f.m_inputs.m_primary_answers = true;
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "releasing");
+}
+
 Test(assessment, a_few_hosts_that_are_cut_off_do_not_depose_a_primary)
 {
     const primary_condition cut_off{false, false, absl::Seconds(2)};
