Give a group back only after a claim of a serving one

Change: only a claim of a group that was serving can be called off. Ruled out: waiting for the call's timeout, which the platform does not promise.

--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -170,6 +170,8 @@
     base::instant m_entered;
     base::instant m_asked;
     need m_need = need::none;
+    // The old primary may go on when it is back before its release.
+    bool m_may_reinstate = false;
     std::uint64_t m_generation = 0;
     base::endpoint_id m_old;
     base::endpoint_id m_candidate;
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -84,8 +84,7 @@
         return out;
     }
     renew(inputs, out);
-    if (state == "releasing" && inputs.m_primary_answers &&
-        m_need == need::failed)
+    if (state == "releasing" && inputs.m_primary_answers && m_may_reinstate)
         reinstate(inputs, out, now);
     else if (state == "releasing" && inputs.m_released)
         fire("released", inputs, out, now);
@@ -107,6 +106,11 @@
         m_change_running || !may_take_duty(inputs))
         return;
     m_need = inputs.m_need;
+    // A group that was left moving may have a promotion under way.
+    m_may_reinstate =
+        m_need == need::failed &&
+        !(inputs.m_leadership &&
+          inputs.m_leadership->m_phase == fleet::leadership_phase::moving);
     fire("needed", inputs, out, now);
 }
 
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -261,6 +261,24 @@
     cr_assert_not(f.sent<promote_endpoint>().has_value());
 }
 
+// The holder before may have sent a promotion that still takes effect.
+Test(promotion, a_group_left_moving_is_never_given_back)
+{
+    promotion_fixture f;
+    f.m_inputs.m_leadership = fleet::leadership_row();
+    f.m_inputs.m_leadership->m_group = base::group_id("g");
+    f.m_inputs.m_leadership->m_generation = 3;
+    f.m_inputs.m_leadership->m_phase = fleet::leadership_phase::moving;
+    f.m_inputs.m_leadership->m_primary = old_primary;
+    f.step();
+    f.apply();
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "releasing");
+    f.m_inputs.m_primary_answers = true;
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "releasing");
+}
+
 Test(promotion, a_planned_change_is_not_called_off_by_an_answer)
 {
     promotion_fixture f;
