Derive the drain from the settings; drop what nothing uses; settings tests

Change: the steps of a planned stop are parts of the time until the kill, the same as before at 6 s; unused names are gone; wrong settings of magnolia-entry each give one line (11 files).

--- a/include/magnoliastack/catalogue/configuration.hpp
+++ b/include/magnoliastack/catalogue/configuration.hpp
@@ -33,8 +33,6 @@
     consistency m_consistency = consistency::primary;
     // Limit of one statement.
     absl::Duration m_statement_timeout;
-    // Within this, an operation counts as fast.
-    absl::Duration m_objective;
     absl::Duration m_max_staleness;
     // 0 goes first.
     std::uint32_t m_priority = 0;
--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -61,13 +61,14 @@
     // `at` is a time of the store after the change.
     virtual void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                              base::instant now) = 0;
-    // All rows up to `version` are known, and there was no newer one at `at`,
-    // which the store wrote between `sent` and now.
-    virtual void rows_confirmed(rpc::row_version version, rpc::store_instant at,
-                                base::instant sent, base::instant now) = 0;
+    // There was no newer row than those passed on so far at `at`, a time of the
+    // store between `sent` and now.
+    virtual void rows_confirmed(rpc::store_instant at, base::instant sent,
+                                base::instant now) = 0;
 };
 
-// Asks the store, each of its three parts by itself, and repeats what failed.
+// Follows the configuration, the endpoints and the fleet's rows, each by
+// itself, and repeats what failed.
 class fleet_follower
 {
 public:
@@ -89,9 +90,6 @@
     void peer_has_configuration(base::configuration_version version,
                                 base::instant now);
 
-    // Reads the endpoints at the next tick, because one of them failed.
-    void hurry_endpoints();
-
     [[nodiscard]] bool has_configuration() const
     {
         return m_configuration_version.value() != 0;
@@ -105,10 +103,6 @@
     {
         return m_fleet_version && !m_fleet.m_failing && !m_refresh.m_failing;
     }
-    [[nodiscard]] bool has_fleet() const
-    {
-        return m_fleet_version.has_value();
-    }
 
 private:
     // One of the parts.
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -106,8 +106,8 @@
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints);
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now);
-    void rows_confirmed(rpc::row_version newest, rpc::store_instant at,
-                        base::instant sent, base::instant now);
+    void rows_confirmed(rpc::store_instant at, base::instant sent,
+                        base::instant now);
     void datagram_received(std::string_view bytes);
 
     // Planned stop: this host relies on nothing any more.
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -15,6 +15,21 @@
 namespace magnoliastack::entry
 {
 
+// Steps of a planned stop, from its beginning.
+struct drain_plan
+{
+    // Idle sessions are closed. The balancer needs 2 s to learn that the host
+    // takes no new ones.
+    absl::Duration m_close_idle;
+    // Open transactions are ended.
+    absl::Duration m_abort;
+    // The process ends.
+    absl::Duration m_end;
+};
+
+// The steps when the process is killed after `limit`.
+drain_plan drain_times(absl::Duration limit);
+
 // Who the host is.
 struct host_options
 {
@@ -23,12 +38,7 @@
     session_options m_sessions;
     follower_options m_follower;
     quota::demand_options m_demand;
-    // A planned stop: when idle sessions are closed, when open transactions
-    // are ended, and when the process ends at the latest. The balancer needs
-    // 2 s to learn that the host takes no new sessions.
-    absl::Duration m_drain_close_idle = absl::Milliseconds(2200);
-    absl::Duration m_drain_abort = absl::Milliseconds(3300);
-    absl::Duration m_drain_end = absl::Milliseconds(4800);
+    drain_plan m_drain = drain_times(absl::Seconds(6));
     // Connections are divided anew after this; opening one costs 12 ms of an
     // endpoint's slot, so they do not follow every change of demand.
     absl::Duration m_division_interval = absl::Seconds(2);
@@ -96,8 +106,8 @@
                       base::instant now) override;
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now) override;
-    void rows_confirmed(rpc::row_version version, rpc::store_instant at,
-                        base::instant sent, base::instant now) override;
+    void rows_confirmed(rpc::store_instant at, base::instant sent,
+                        base::instant now) override;
 
 private:
     void apply_endpoints(base::instant now);
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -80,7 +80,6 @@
     bool m_lost = false;
     // Connection of the open transaction, once its first statement ran.
     std::optional<base::connection_generation> m_pinned;
-    base::instant m_transaction_began;
     value_map m_values;
     std::map<std::string, prepared_statement> m_prepared;
     // Log point of the session's last write, and its group.
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -27,12 +27,6 @@
         ask_fleet(now);
 }
 
-void fleet_follower::hurry_endpoints()
-{
-    if (!m_endpoints.m_failing)
-        m_endpoints.m_next = {};
-}
-
 void fleet_follower::started(lane& what)
 {
     what.m_running = true;
@@ -232,7 +226,7 @@
                              static_cast<double>(m_fleet_size);
     for (const auto& row : change.m_rows)
         m_newest_row = std::max(m_newest_row, row.m_version);
-    m_events.rows_confirmed(m_newest_row, change.m_at, sent, now);
+    m_events.rows_confirmed(change.m_at, sent, now);
 }
 
 } // namespace magnoliastack::entry
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -105,8 +105,7 @@
                 {"version", version}});
 }
 
-void fleet_service::rows_confirmed(rpc::row_version /*newest*/,
-                                   rpc::store_instant at, base::instant sent,
+void fleet_service::rows_confirmed(rpc::store_instant at, base::instant sent,
                                    base::instant now)
 {
     m_rows_known = true;
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -8,6 +8,23 @@
 namespace magnoliastack::entry
 {
 
+namespace
+{
+
+// Parts of the time until the kill: transactions have the first half to end by
+// themselves, and a fifth is kept for a slow machine.
+constexpr double abort_part = 0.55;
+constexpr double end_part = 0.8;
+constexpr absl::Duration balancer_time = absl::Milliseconds(2200);
+
+} // namespace
+
+drain_plan drain_times(absl::Duration limit)
+{
+    const absl::Duration abort = limit * abort_part;
+    return {std::min(balancer_time, abort), abort, limit * end_part};
+}
+
 host::host(host_options options, host_links links)
     : m_options(std::move(options)), m_links(links),
       m_shares(m_options.m_demand), m_homes(m_options.m_fleet.m_self),
@@ -43,13 +60,13 @@
     if (!m_draining_since)
         return;
     const auto draining = now - *m_draining_since;
-    if (draining >= m_options.m_drain_abort)
+    if (draining >= m_options.m_drain.m_abort)
     {
         m_service.abort_transactions(now);
         if (m_service.session_count() == 0)
             m_fleet.leave(now);
     }
-    else if (draining >= m_options.m_drain_close_idle)
+    else if (draining >= m_options.m_drain.m_close_idle)
         m_service.close_idle(now);
 }
 
@@ -72,8 +89,8 @@
     if (!m_draining_since)
         return false;
     const auto draining = m_links.m_clock.now() - *m_draining_since;
-    return draining >= m_options.m_drain_end ||
-           (draining >= m_options.m_drain_abort &&
+    return draining >= m_options.m_drain.m_end ||
+           (draining >= m_options.m_drain.m_abort &&
             m_service.session_count() == 0);
 }
 
@@ -106,10 +123,10 @@
     m_fleet.row_changed(row, at, now);
 }
 
-void host::rows_confirmed(rpc::row_version version, rpc::store_instant at,
-                          base::instant sent, base::instant now)
+void host::rows_confirmed(rpc::store_instant at, base::instant sent,
+                          base::instant now)
 {
-    m_fleet.rows_confirmed(version, at, sent, now);
+    m_fleet.rows_confirmed(at, sent, now);
 }
 
 void host::apply_endpoints(base::instant now)
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -210,7 +210,6 @@
     {
         who.m_state = transaction_state::open;
         who.m_read_only = what.m_kind == statement_kind::begin_read_only;
-        who.m_transaction_began = now;
         answer(who, std::nullopt, {});
         return;
     }
--- /dev/null
+++ b/unittests/entry_settings/entry_settings_test.cpp
@@ -0,0 +1,62 @@
+#include "magnoliastack/entry_settings/entry_settings.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace entry_settings = magnoliastack::entry_settings;
+
+namespace
+{
+
+const std::string good = "[host]\nid = h0\nfailure_domain = d\n"
+                         "[listen]\ncallers = 10.0.0.1:1\n"
+                         "probe = 10.0.0.1:2\npeers = 10.0.0.1:3\n"
+                         "metrics = 10.0.0.1:4\n"
+                         "[platform]\nstore = 10.0.0.9:5\n"
+                         "duties = 10.0.0.9:6\n[limits]\nstop = 6s\n";
+
+std::string with(const std::string& from, const std::string& to)
+{
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+Test(entry_settings, a_right_file_is_read)
+{
+    const auto parsed = entry_settings::parse(good, "f");
+    cr_assert(parsed.has_value());
+    cr_assert_eq(parsed->m_stop_limit, absl::Seconds(6));
+    cr_assert_eq(parsed->m_largest_sessions, 3500);
+}
+
+Test(entry_settings, each_wrong_file_gives_one_line_with_its_place)
+{
+    const std::vector<std::pair<std::string, std::string>> wrong = {
+        {with("id = h0\n", ""), "id"},
+        {with("id = h0", "id = h 0"), "id"},
+        {with("id = h0", "id = h0\nid = h1"), "id"},
+        {with("callers = 10.0.0.1:1", "callers = here"), "callers"},
+        {with("probe = 10.0.0.1:2", "probe = 10.0.0.1:1"), "probe"},
+        {with("stop = 6s", "stop = 6"), "stop"},
+        {with("stop = 6s", "stop = 0s"), "stop"},
+        {with("stop = 6s", "stops = 6s"), "stops"},
+        {with("[limits]", "[limit]"), "limit"},
+        {with("stop = 6s", "sessions = 0"), "sessions"},
+        {with("store = 10.0.0.9:5", "store = 10.0.0.9"), "store"},
+    };
+    for (const auto& [text, word] : wrong)
+    {
+        const auto parsed = entry_settings::parse(text, "f.ini");
+        cr_assert_not(parsed.has_value(), "%s", word.c_str());
+        const auto line = parsed.error().front().to_string();
+        cr_assert_neq(line.find("f.ini"), std::string::npos, "%s",
+                      line.c_str());
+        cr_assert_neq(line.find(word), std::string::npos, "%s", line.c_str());
+    }
+}
