Free ended gRPC calls on a thread of their owner

The stack ends in grpc_cq_internal_unref below the callback queue's own thread: the callback of a pull let its context go after it had told the stopping endpoint that it was over, so the last channel of the process was freed on gRPC's thread, which waits there for itself. Change: callbacks hand what they hold to live_calls, and a thread of the owner frees it; the same in the links to endpoints and to the platform, which had two counters of their own for it. Ruled out: the reactors (the stack has none of them); load alone.

--- a/include/magnoliastack/endpoint_client/grpc_endpoint_link.hpp
+++ b/include/magnoliastack/endpoint_client/grpc_endpoint_link.hpp
@@ -7,11 +7,16 @@
 #include <memory>
 #include <string>
 
-namespace magnoliastack::endpoint_client
+namespace magnoliastack::grpc_calls
 {
 
 class live_calls;
 
+} // namespace magnoliastack::grpc_calls
+
+namespace magnoliastack::endpoint_client
+{
+
 // The gRPC implementation of rpc::endpoint_link. Every database connection and
 // every monitor has a transport connection of its own. Listeners must outlive
 // the link; the destructor waits until no callback can come any more, so
@@ -45,7 +50,7 @@
 
 private:
     base::host_id m_self;
-    std::shared_ptr<live_calls> m_live;
+    std::shared_ptr<grpc_calls::live_calls> m_live;
 };
 
 } // namespace magnoliastack::endpoint_client
--- a/lib/endpoint_client/bidi_stream.hpp
+++ b/lib/endpoint_client/bidi_stream.hpp
@@ -2,7 +2,7 @@
 #ifndef MAGNOLIASTACK_LIB_ENDPOINT_CLIENT_BIDI_STREAM_HPP
 #define MAGNOLIASTACK_LIB_ENDPOINT_CLIENT_BIDI_STREAM_HPP
 
-#include "live_calls.hpp"
+#include "magnoliastack/grpc_calls/live_calls.hpp"
 
 #include "absl/synchronization/mutex.h"
 
@@ -28,7 +28,7 @@
     using receive_function = std::function<void(const Response&)>;
     using done_function = std::function<void(const grpc::Status&)>;
 
-    bidi_stream(std::shared_ptr<live_calls> live, receive_function received,
+    bidi_stream(std::shared_ptr<grpc_calls::live_calls> live, receive_function received,
                 done_function done)
         : m_live(std::move(live)), m_received(std::move(received)),
           m_done(std::move(done))
@@ -91,14 +91,13 @@
             m_over = true;
         }
         m_done(status);
-        const std::shared_ptr<live_calls> live = m_live;
-        m_self.reset();
-        live->end();
+        const std::shared_ptr<grpc_calls::live_calls> live = m_live;
+        live->end(std::move(m_self));
     }
 
 private:
     grpc::ClientContext m_context;
-    std::shared_ptr<live_calls> m_live;
+    std::shared_ptr<grpc_calls::live_calls> m_live;
     receive_function m_received;
     done_function m_done;
     std::shared_ptr<bidi_stream> m_self;
--- a/lib/endpoint_client/grpc_endpoint_link.cpp
+++ b/lib/endpoint_client/grpc_endpoint_link.cpp
@@ -1,8 +1,8 @@
 #include "magnoliastack/endpoint_client/grpc_endpoint_link.hpp"
 
 #include "bidi_stream.hpp"
-#include "live_calls.hpp"
 #include "magnoliastack/base/time.hpp"
+#include "magnoliastack/grpc_calls/live_calls.hpp"
 #include "magnoliastack/v1/endpoint.grpc.pb.h"
 #include "magnoliastack/wire/convert.hpp"
 
@@ -52,6 +52,7 @@
     return {code, status.error_message()};
 }
 
+using grpc_calls::live_calls;
 using call_stream = bidi_stream<v1::CallRequest, v1::CallResponse>;
 using monitor_stream = bidi_stream<v1::MonitorRequest, v1::MonitorResponse>;
 
@@ -281,7 +282,7 @@
     call->m_stub->async()->Seal(
         &call->m_context, &call->m_request, &call->m_response,
         [call, endpoint, live = m_live,
-         done = std::move(done)](const grpc::Status& status)
+         done = std::move(done)](const grpc::Status& status) mutable
         {
             if (!status.ok())
                 done(endpoint, tl::make_unexpected(to_error(status)));
@@ -290,7 +291,7 @@
                      rpc::control_answer{
                          call->m_response.sealed(),
                          wire::from_proto(call->m_response.status())});
-            live->end();
+            live->end(std::move(call));
         });
 }
 
@@ -306,7 +307,7 @@
     call->m_stub->async()->Promote(
         &call->m_context, &call->m_request, &call->m_response,
         [call, endpoint, live = m_live,
-         done = std::move(done)](const grpc::Status& status)
+         done = std::move(done)](const grpc::Status& status) mutable
         {
             if (!status.ok())
                 done(endpoint, tl::make_unexpected(to_error(status)));
@@ -315,7 +316,7 @@
                      rpc::control_answer{
                          call->m_response.promoted(),
                          wire::from_proto(call->m_response.status())});
-            live->end();
+            live->end(std::move(call));
         });
 }
 
--- a/lib/platform_client/grpc_platform_link.cpp
+++ b/lib/platform_client/grpc_platform_link.cpp
@@ -1,9 +1,8 @@
 #include "magnoliastack/platform_client/grpc_platform_link.hpp"
 
+#include "magnoliastack/grpc_calls/live_calls.hpp"
 #include "magnoliastack/v1/platform.grpc.pb.h"
 
-#include "absl/synchronization/mutex.h"
-
 #include <grpcpp/grpcpp.h>
 #include <grpcpp/support/client_callback.h>
 
@@ -63,7 +62,7 @@
 
 } // namespace
 
-// Shared with the callbacks, which can come until the last call has ended.
+// The stub and the calls on it.
 class grpc_platform_link::state
 {
 public:
@@ -81,8 +80,8 @@
     // Starts a call and hands its status and response to `finish`.
     template <typename Request, typename Response, typename Method,
               typename Finish>
-    static void start(const std::shared_ptr<state>& self, Request request,
-                      absl::Duration timeout, Method method, Finish finish)
+    void start(Request request, absl::Duration timeout, Method method,
+               Finish finish)
     {
         struct context_and_messages
         {
@@ -91,47 +90,33 @@
             Response m_response;
         };
         auto call = std::make_shared<context_and_messages>();
-        call->m_context.AddMetadata("magnolia-host", self->m_self.str());
+        call->m_context.AddMetadata("magnolia-host", m_self.str());
         call->m_context.set_deadline(std::chrono::system_clock::now() +
                                      absl::ToChronoMicroseconds(timeout));
         call->m_request = std::move(request);
-        self->begin();
-        (self->stub().*method)(
+        m_live->begin();
+        (stub().*method)(
             &call->m_context, &call->m_request, &call->m_response,
             std::function<void(grpc::Status)>(
-                [self, call, finish = std::move(finish)](grpc::Status status)
+                [live = m_live, call,
+                 finish = std::move(finish)](grpc::Status status) mutable
                 {
                     finish(status, call->m_response);
-                    self->end();
+                    live->end(std::move(call));
                 }));
     }
 
     void wait_for_none()
     {
-        const auto none = [this]
-        {
-            return m_live == 0;
-        };
-        m_mutex.LockWhen(absl::Condition(&none));
-        m_mutex.Unlock();
+        m_live->wait_for_none();
     }
 
 private:
-    void begin()
-    {
-        const absl::MutexLock lock(&m_mutex);
-        ++m_live;
-    }
-    void end()
-    {
-        const absl::MutexLock lock(&m_mutex);
-        --m_live;
-    }
-
     base::host_id m_self;
     std::unique_ptr<v1::Platform::Stub> m_stub;
-    absl::Mutex m_mutex;
-    int m_live = 0;
+    // Outlives the stub until the last callback has let go of it.
+    std::shared_ptr<grpc_calls::live_calls> m_live =
+        std::make_shared<grpc_calls::live_calls>();
 };
 
 namespace
@@ -164,8 +149,8 @@
     request.set_key(key);
     const unary_method<v1::ReadRowRequest, v1::RowState> method =
         &v1::Platform::StubInterface::async_interface::ReadRow;
-    state::start<v1::ReadRowRequest, v1::RowState>(
-        m_state, std::move(request), timeout, method,
+    m_state->start<v1::ReadRowRequest, v1::RowState>(
+        std::move(request), timeout, method,
         [done = std::move(done)](const grpc::Status& status,
                                  const v1::RowState& response)
         {
@@ -186,8 +171,8 @@
     request.set_value(value);
     const unary_method<v1::CompareAndSwapRequest, v1::CompareAndSwapResponse>
         method = &v1::Platform::StubInterface::async_interface::CompareAndSwap;
-    state::start<v1::CompareAndSwapRequest, v1::CompareAndSwapResponse>(
-        m_state, std::move(request), timeout, method,
+    m_state->start<v1::CompareAndSwapRequest, v1::CompareAndSwapResponse>(
+        std::move(request), timeout, method,
         [done = std::move(done)](const grpc::Status& status,
                                  const v1::CompareAndSwapResponse& response)
         {
@@ -207,8 +192,8 @@
     request.set_content(content);
     const unary_method<v1::PutObjectRequest, v1::PutObjectResponse> method =
         &v1::Platform::StubInterface::async_interface::PutObject;
-    state::start<v1::PutObjectRequest, v1::PutObjectResponse>(
-        m_state, std::move(request), timeout, method,
+    m_state->start<v1::PutObjectRequest, v1::PutObjectResponse>(
+        std::move(request), timeout, method,
         [done = std::move(done)](const grpc::Status& status,
                                  const v1::PutObjectResponse&)
         {
@@ -226,8 +211,8 @@
     request.set_name(name);
     const unary_method<v1::GetObjectRequest, v1::GetObjectResponse> method =
         &v1::Platform::StubInterface::async_interface::GetObject;
-    state::start<v1::GetObjectRequest, v1::GetObjectResponse>(
-        m_state, std::move(request), timeout, method,
+    m_state->start<v1::GetObjectRequest, v1::GetObjectResponse>(
+        std::move(request), timeout, method,
         [done = std::move(done)](const grpc::Status& status,
                                  const v1::GetObjectResponse& response)
         {
@@ -246,8 +231,8 @@
 {
     const unary_method<v1::ListHostsRequest, v1::ListHostsResponse> method =
         &v1::Platform::StubInterface::async_interface::ListHosts;
-    state::start<v1::ListHostsRequest, v1::ListHostsResponse>(
-        m_state, v1::ListHostsRequest(), timeout, method,
+    m_state->start<v1::ListHostsRequest, v1::ListHostsResponse>(
+        v1::ListHostsRequest(), timeout, method,
         [done = std::move(done)](const grpc::Status& status,
                                  const v1::ListHostsResponse& response)
         {
@@ -266,8 +251,8 @@
     request.set_gone(gone);
     const unary_method<v1::AnnounceRequest, v1::AnnounceResponse> method =
         &v1::Platform::StubInterface::async_interface::Announce;
-    state::start<v1::AnnounceRequest, v1::AnnounceResponse>(
-        m_state, std::move(request), timeout, method,
+    m_state->start<v1::AnnounceRequest, v1::AnnounceResponse>(
+        std::move(request), timeout, method,
         [done = std::move(done)](const grpc::Status& status,
                                  const v1::AnnounceResponse&)
         {
--- a/lib/standin_server/endpoint_server.cpp
+++ b/lib/standin_server/endpoint_server.cpp
@@ -5,6 +5,7 @@
 #include "state_file.hpp"
 #include "work_loop.hpp"
 
+#include "magnoliastack/grpc_calls/live_calls.hpp"
 #include "magnoliastack/logging/logging.hpp"
 #include "magnoliastack/standin/fault_filter.hpp"
 #include "magnoliastack/v1/endpoint.grpc.pb.h"
@@ -14,7 +15,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -62,14 +62,12 @@
     // started any more.
     void stop()
     {
-        std::unique_lock lock(m_calls->m_mutex);
-        for (const auto& item : m_calls->m_under_way)
-            item->m_context.TryCancel();
-        m_calls->m_changed.wait(lock,
-                                [this]
-                                {
-                                    return m_calls->m_under_way.empty();
-                                });
+        {
+            const std::lock_guard lock(m_calls->m_mutex);
+            for (const auto& item : m_calls->m_under_way)
+                item->m_context.TryCancel();
+        }
+        m_calls->m_live.wait_for_none();
     }
 
     // False when the member's address is not known.
@@ -83,6 +81,7 @@
         item->m_request = to_message(request);
         item->m_context.set_deadline(std::chrono::system_clock::now() +
                                      absl::ToChronoNanoseconds(pull_timeout));
+        m_calls->m_live.begin();
         {
             const std::lock_guard lock(m_calls->m_mutex);
             m_calls->m_under_way.insert(item);
@@ -90,16 +89,18 @@
         found->second->async()->Pull(
             &item->m_context, &item->m_request, &item->m_response,
             [calls = m_calls, item,
-             done = std::move(done)](const grpc::Status& status)
+             done = std::move(done)](const grpc::Status& status) mutable
             {
                 if (status.ok())
                     done(to_answer(item->m_response));
                 else
                     done(base::fail(base::error_code::unavailable,
                                     status.error_message()));
-                const std::lock_guard lock(calls->m_mutex);
-                calls->m_under_way.erase(item);
-                calls->m_changed.notify_all();
+                {
+                    const std::lock_guard lock(calls->m_mutex);
+                    calls->m_under_way.erase(item);
+                }
+                calls->m_live.end(std::move(item));
             });
         return true;
     }
@@ -116,7 +117,7 @@
     struct calls_under_way
     {
         std::mutex m_mutex;
-        std::condition_variable m_changed;
+        grpc_calls::live_calls m_live;
         std::set<std::shared_ptr<call>> m_under_way;
     };
 
