--- a/lib/endpoint_client/bidi_stream.hpp
+++ b/lib/endpoint_client/bidi_stream.hpp
@@ -28,8 +28,8 @@
     using receive_function = std::function<void(const Response&)>;
     using done_function = std::function<void(const grpc::Status&)>;
 
-    bidi_stream(std::shared_ptr<grpc_calls::live_calls> live, receive_function received,
-                done_function done)
+    bidi_stream(std::shared_ptr<grpc_calls::live_calls> live,
+                receive_function received, done_function done)
         : m_live(std::move(live)), m_received(std::move(received)),
           m_done(std::move(done))
     {
--- a/lib/platform_client/grpc_platform_link.cpp
+++ b/lib/platform_client/grpc_platform_link.cpp
@@ -95,15 +95,14 @@
                                      absl::ToChronoMicroseconds(timeout));
         call->m_request = std::move(request);
         m_live->begin();
-        (stub().*method)(
-            &call->m_context, &call->m_request, &call->m_response,
-            std::function<void(grpc::Status)>(
-                [live = m_live, call,
-                 finish = std::move(finish)](grpc::Status status) mutable
-                {
-                    finish(status, call->m_response);
-                    live->end(std::move(call));
-                }));
+        (stub().*method)(&call->m_context, &call->m_request, &call->m_response,
+                         std::function<void(grpc::Status)>(
+                             [live = m_live, call, finish = std::move(finish)](
+                                 grpc::Status status) mutable
+                             {
+                                 finish(status, call->m_response);
+                                 live->end(std::move(call));
+                             }));
     }
 
     void wait_for_none()
