Avoid endpoints that fail, close connections that owe an answer to nobody

Change: outcomes at an endpoint are averaged, reads go elsewhere above 0.3 with a trial each 500 ms, and a primary that fails nearly all counts as unreachable; a single read that failed runs again; a connection without a caller is closed when its answer is 2 s late; a rejected opening is no try.

--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -5,6 +5,7 @@
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/endpoint_entry.hpp"
 #include "magnoliastack/entry/endpoint_pool.hpp"
+#include "magnoliastack/entry/failure_average.hpp"
 #include "magnoliastack/replication/commit_bounds.hpp"
 
 #include "absl/time/time.h"
@@ -39,6 +40,7 @@
     base::instant m_position_at;
     // Moving average of the time of an answer.
     absl::Duration m_answer_time;
+    failure_average m_failures;
     // Last message, and the oldest request that has had none since.
     base::instant m_heard;
     std::optional<base::instant> m_waiting_since;
--- a/include/magnoliastack/entry/placement.hpp
+++ b/include/magnoliastack/entry/placement.hpp
@@ -26,6 +26,8 @@
     std::uint32_t m_slots = 1;
     // Moving average of its answer times.
     absl::Duration m_answer_time;
+    // It fails much of what it runs; used only when no other one may run it.
+    bool m_avoided = false;
     // A connection of the organisation is idle.
     bool m_has_idle_connection = false;
     // A connection may be opened, at the cost of an idle one if need be.
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -41,6 +41,10 @@
     // A replica that lagged this long ago is tried again; it refuses if it
     // still lags.
     absl::Duration m_position_validity = absl::Milliseconds(250);
+    // A connection whose caller has left is closed when its answer has not come
+    // for this long: it may never come, and the connection counts at the
+    // endpoint.
+    absl::Duration m_abandoned_limit = absl::Seconds(2);
     // Pause before a statement goes to an endpoint that refused it as busy.
     absl::Duration m_busy_pause = absl::Milliseconds(30);
     // A statement that got no connection for this long is refused, which
@@ -223,6 +227,10 @@
     void connection_lost(connection& item, base::instant now);
     void work_lost(session& who, const base::endpoint_id& endpoint,
                    base::instant now);
+    void opening_rejected(connection& item, base::instant now);
+    [[nodiscard]] bool is_stuck(const connection& item,
+                                const endpoint_state& endpoint,
+                                base::instant now) const;
     bool try_again(session& who, const base::endpoint_id& endpoint,
                    const char* cause, base::instant now);
     void finish(session& who, std::optional<rpc::statement_error> error,
--- a/lib/entry/placement.cpp
+++ b/lib/entry/placement.cpp
@@ -1,5 +1,7 @@
 #include "magnoliastack/entry/placement.hpp"
 
+#include <utility>
+
 namespace magnoliastack::entry
 {
 namespace
@@ -58,7 +60,8 @@
         if (!may_run(request, candidate))
             continue;
         const absl::Duration time = expected_time(request, candidate);
-        if (best != nullptr && time >= best_time)
+        if (best != nullptr && std::make_pair(candidate.m_avoided, time) >=
+                                   std::make_pair(best->m_avoided, best_time))
             continue;
         best = &candidate;
         best_time = time;
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -71,7 +71,33 @@
                 "connection_rejected",
                 {{"endpoint", item->m_endpoint}, {"reason", to_string(error)}});
     }
-    connection_lost(*item, now);
+    if (error == statement_error::too_many_connections)
+        opening_rejected(*item, now);
+    else
+        connection_lost(*item, now);
+}
+
+// The statement that the connection was for was never sent: it waits on and has
+// not used one of its tries. After a restart of many hosts endpoints are full
+// of connections that nobody holds for 3 s.
+void statement_runner::opening_rejected(connection& item, base::instant now)
+{
+    session* who = owner_of(item);
+    const bool waits = who != nullptr && who->m_work &&
+                       who->m_work->m_connection == item.m_number &&
+                       who->m_work->m_stage == work_stage::connecting;
+    if (!waits)
+    {
+        connection_lost(item, now);
+        return;
+    }
+    close(item);
+    m_metrics.counter("retried.opening_rejected").add();
+    who->m_work->m_stage = work_stage::waiting;
+    who->m_work->m_connection = {};
+    who->m_work->m_not_before = now + m_options.m_busy_pause;
+    wait(*who, now);
+    place_waiting(who->m_route.m_group, now);
 }
 
 void statement_runner::row_received(base::connection_generation number,
@@ -234,6 +260,10 @@
     on.m_failure.reset();
     const base::endpoint_id endpoint_id = on.m_endpoint;
     endpoint_state* endpoint = find_endpoint(endpoint_id);
+    const bool bad =
+        error == statement_error::failed || error == statement_error::timeout;
+    if (endpoint != nullptr)
+        endpoint->m_failures.ended(bad, now);
     if (endpoint != nullptr && !error)
         endpoint->m_answer_time =
             averaged(endpoint->m_answer_time, now - what.m_sent);
@@ -241,7 +271,10 @@
     const bool commit = what.m_statement.m_kind == statement_kind::commit;
     if (error == statement_error::unknown_prepared)
         on.m_prepared.clear();
-    if (error && single && is_not_run(*error) &&
+    // A read that failed may run again.
+    const bool may_repeat =
+        error && (is_not_run(*error) || (bad && !what.m_writes));
+    if (may_repeat && single &&
         try_again(who, endpoint_id, to_string(*error), now))
     {
         m_metrics.counter(std::string("retried.") + to_string(*error)).add();
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -42,6 +42,7 @@
         {
             // A restarted endpoint has forgotten all it held.
             endpoint.m_position.reset();
+            endpoint.m_failures = failure_average();
             m_log.info("endpoint_restarted", {{"endpoint", entry.m_id}});
         }
         if (added)
@@ -115,9 +116,12 @@
                                                  base::instant now) const
 {
     const endpoint_state* endpoint = find_endpoint(id);
-    if (endpoint == nullptr || endpoint->m_health == endpoint_health::serving)
+    if (endpoint == nullptr)
         return absl::ZeroDuration();
-    return now - endpoint->m_failed_since;
+    if (endpoint->m_health != endpoint_health::serving)
+        return now - endpoint->m_failed_since;
+    const auto down_since = endpoint->m_failures.down_since();
+    return down_since ? now - *down_since : absl::ZeroDuration();
 }
 
 bool statement_runner::has_answered_since(const base::endpoint_id& id,
@@ -126,7 +130,7 @@
     const endpoint_state* endpoint = find_endpoint(id);
     return endpoint != nullptr && endpoint->m_listed && !endpoint->m_leaving &&
            endpoint->m_health == endpoint_health::serving &&
-           endpoint->m_heard > since;
+           !endpoint->m_failures.down_since() && endpoint->m_heard > since;
 }
 
 void statement_runner::forgive_pause(base::instant now)
@@ -204,6 +208,8 @@
     {
         session* who = owner_of(*item);
         m_metrics.counter("refused.statement_timeout").add();
+        if (endpoint_state* endpoint = find_endpoint(item->m_endpoint))
+            endpoint->m_failures.ended(true, now);
         work& what = *who->m_work;
         what.m_tried.resize(m_options.m_largest_tries);
         connection_lost(*item, now);
@@ -236,18 +242,29 @@
         connection* still = find(item->m_number);
         if (still == nullptr)
             continue;
-        const bool stuck = !still->m_open &&
-                           now - still->m_opened >= m_options.m_connect_timeout;
-        const bool silent = endpoint.m_health == endpoint_health::unreachable &&
-                            !still->m_awaited.empty();
-        if (!stuck && !silent)
+        if (!is_stuck(*still, endpoint, now))
             continue;
-        if (stuck)
+        if (!still->m_open)
             endpoint_failed(endpoint, "connect_timeout", now);
         connection_lost(*still, now);
     }
 }
 
+// A connection that does not open in time, owes an answer at an endpoint that
+// cannot be reached, or owes one to nobody.
+bool statement_runner::is_stuck(const connection& item,
+                                const endpoint_state& endpoint,
+                                base::instant now) const
+{
+    if (!item.m_open)
+        return now - item.m_opened >= m_options.m_connect_timeout;
+    if (item.m_awaited.empty())
+        return false;
+    return endpoint.m_health == endpoint_health::unreachable ||
+           (!item.m_owner &&
+            now - item.m_awaited.front().m_sent >= m_options.m_abandoned_limit);
+}
+
 void statement_runner::endpoint_failed(endpoint_state& endpoint,
                                        const char* cause, base::instant now)
 {
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -46,6 +46,7 @@
             endpoint.m_entry.m_failure_domain == m_options.m_failure_domain;
         if (now - endpoint.m_position_at < m_options.m_position_validity)
             candidate.m_position = endpoint.m_position;
+        candidate.m_avoided = endpoint.m_failures.is_avoided(now);
         candidate.m_in_flight = endpoint.m_pool.busy();
         candidate.m_slots = endpoint.m_entry.m_slots;
         candidate.m_answer_time = endpoint.m_answer_time;
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -112,6 +112,7 @@
                            base::instant now)
 {
     work& what = *who.m_work;
+    endpoint.m_failures.tried(now);
     connection* idle =
         endpoint.m_pool.find_idle(who.m_organisation, who.m_values);
     if (idle != nullptr)
--- a/unittests/entry/statement_test.cpp
+++ b/unittests/entry/statement_test.cpp
@@ -283,3 +283,72 @@
     f.m_driver.start(8, "settle");
     cr_assert(f.m_driver.was_answered(8, "ready I"));
 }
+
+// Grown Muscat trouble-1: endpoints that failed half of what they ran cost
+// reads whose callers had to come back.
+Test(reads, a_read_that_failed_runs_again_and_a_write_does_not)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::read, "READ a");
+    auto request = f.m_driver.next_statement();
+    cr_assert(request.has_value());
+    f.m_driver.fail(*request, statement_error::failed);
+    request = f.m_driver.next_statement();
+    cr_assert(request.has_value());
+    f.m_driver.succeed(*request);
+    cr_assert(f.m_driver.was_answered(2, "done signature"));
+    f.m_driver.take_answers(2);
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    request = f.m_driver.next_statement();
+    cr_assert(request.has_value());
+    f.m_driver.fail(*request, statement_error::failed);
+    cr_assert(f.m_driver.was_answered(2, "err failed"));
+    cr_assert_not(f.m_driver.next_statement().has_value());
+}
+
+// Grown Muscat trouble-1: after an endpoint had hung for a while its statements
+// without a caller held a connection of every host for good, and each host
+// probed it twice a second.
+Test(connections, one_that_owes_an_answer_to_nobody_is_closed)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::read, "READ a");
+    const auto request = f.m_driver.next_statement();
+    cr_assert(request.has_value());
+    f.host(0).m_host.sessions().session_closed(rpc::session_number(2));
+    const auto& open = f.host(0).m_endpoints.m_open;
+    cr_assert(open.contains(request->m_connection));
+    for (int step = 0; step < 50; ++step)
+    {
+        f.run(absl::Milliseconds(50));
+        f.m_driver.accept();
+    }
+    cr_assert_not(open.contains(request->m_connection));
+}
+
+// Grown Muscat trouble-1: after a power failure endpoints counted connections
+// of hosts that were gone, and statements used up their tries within 30 ms.
+Test(connections, a_rejected_opening_is_no_try_of_the_statement)
+{
+    statement_fixture f;
+    f.m_driver.say(2, statement_kind::write, "WRITE a b");
+    for (int step = 0; step < 6; ++step)
+    {
+        for (const auto number :
+             std::exchange(f.host(0).m_endpoints.m_opening, {}))
+            f.host(0).m_host.endpoints().rejected(
+                number, statement_error::too_many_connections);
+        f.run(absl::Milliseconds(50));
+    }
+    cr_assert_not(f.m_driver.was_answered(2, "err busy"));
+    for (int step = 0; step < 4; ++step)
+    {
+        f.run(absl::Milliseconds(50));
+        if (const auto request = f.m_driver.next_statement())
+        {
+            f.m_driver.succeed(*request);
+            break;
+        }
+    }
+    cr_assert(f.m_driver.was_answered(2, "done signature"));
+}
