Count a member's silence from this host's own registration

A host that was marked while it was cut off is told nothing; at its return it took all others for silent, marked them, and they did the same 4.5 s later. Change: silence counts from the moment at which the others may tell this host something again. A test; it fails without the change and passes with it. Ruled out: lost datagrams (the marks come within 50 ms of the registration).

--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -129,6 +129,9 @@
     std::optional<base::failure_domain_id> m_own_domain;
     std::size_t m_next_near = 0;
     std::size_t m_next_far = 0;
+    // Since when the others may tell this host something: its row is there and
+    // not marked.
+    base::instant m_told_since;
     // When the first row came.
     std::optional<base::instant> m_started;
 };
--- a/lib/fleet/members.cpp
+++ b/lib/fleet/members.cpp
@@ -30,6 +30,10 @@
         item.m_report.reset();
         item.m_heard = now;
     }
+    const bool was_told = !added && !item.m_row.m_out_since &&
+                          item.m_row.m_incarnation == row.m_incarnation;
+    if (row.m_host == m_self && !was_told)
+        m_told_since = now;
     item.m_marked_by.reset();
     if (row.m_out_since)
         item.m_marked_by = std::min(
@@ -155,8 +159,10 @@
     for (const auto& [host, item] : m_members)
     {
         const bool mine = large && is_near(item) ? first_near : first;
+        // While this host was marked itself, nobody told it anything.
+        const auto silent = now - std::max(item.m_heard, m_told_since);
         if (mine && host != m_self && !item.m_row.m_out_since &&
-            now - item.m_heard > turn(item) * m_options.m_out_turns)
+            silent > turn(item) * m_options.m_out_turns)
             result.push_back(&item);
     }
     return result;
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -189,3 +189,25 @@
                      rpc::store_instant(95000), at(0));
     cr_assert_not(item->m_marked_by.has_value());
 }
+
+// Grown Muscat scale-2: hosts that had been marked while they were cut off came
+// back, took all others for silent and marked them, and so on for 15 s.
+Test(members, a_host_that_was_marked_does_not_mark_the_others_at_its_return)
+{
+    member_book book(base::host_id("h0"), base::incarnation(1));
+    std::uint64_t version = 0;
+    const auto change = [&](member_row changed, int now)
+    {
+        book.row_changed(changed, rpc::row_version(++version),
+                         rpc::store_instant(60), at(now));
+    };
+    change(row("h0", 1), 0);
+    for (int host = 1; host < 6; ++host)
+        change(row("h" + std::to_string(host), 1), 0);
+    auto out = row("h0", 1);
+    out.m_out_since = rpc::store_instant(50);
+    change(out, 8000);
+    change(row("h0", 1), 9000);
+    cr_assert(book.to_mark(at(9100)).empty());
+    cr_assert_eq(book.to_mark(at(12000)).size(), 5);
+}
