Add a fault soak of magnolia-entry

Added: test/soak, the real program as six processes before two groups of three endpoints; TCP and UDP relays that delay, hold one way or both, reset and silence; a store that is away for some hosts, slow, loses answers or carries changes out late; endpoints that crash, leave, lag or are cut off; kill, stop, pause, reload and the kill of all; keys and rates that change. Its own faults on the way: children inherited listening sockets, ports were taken while a host was down, a statement that the fleet sends again counted as a second operation.

--- /dev/null
+++ b/test/soak/checker.cpp
@@ -0,0 +1,163 @@
+#include "checker.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace magnoliastack::soak
+{
+namespace
+{
+
+// The window and the tolerance of the rates, as the users state them.
+constexpr std::chrono::seconds quota_window{5};
+constexpr double quota_over = 1.1;
+constexpr double quota_slack = 20;
+
+bool shows(const std::vector<commit_ptr>& applied, const commit_ptr& what)
+{
+    return what->m_number <= applied.size() &&
+           applied[what->m_number - 1] == what;
+}
+
+} // namespace
+
+void checker::sent(const std::string& id, const demand& what)
+{
+    m_demands[id] = what;
+}
+
+void checker::ran(const std::string& id, const std::string& organisation,
+                  const std::string& group, bool reads,
+                  const std::vector<commit_ptr>& applied)
+{
+    const auto found = m_demands.find(id);
+    if (found == m_demands.end())
+    {
+        broken("UNASKED", "nobody sent statement " + id);
+        return;
+    }
+    const demand& what = found->second;
+    if (what.m_organisation != organisation)
+        broken("UNASKED", id + " ran for " + organisation + ", not for " +
+                              what.m_organisation);
+    if (what.m_group != group)
+        broken("ROUTE", id + " ran at group " + group);
+    if (!reads)
+        return;
+    if (what.m_own && !what.m_own->m_rolled_back && !shows(applied, what.m_own))
+        broken("STALE", id + " lacks its session's own commit");
+    for (const auto& item : m_acknowledged[group])
+        if (item->m_acknowledged < what.m_covers && !item->m_rolled_back &&
+            !shows(applied, item))
+        {
+            broken("STALE",
+                   id + " lacks commit " + std::to_string(item->m_term) + "." +
+                       std::to_string(item->m_number) + " of " + group);
+            return;
+        }
+}
+
+void checker::admitted(const std::string& organisation,
+                       const std::string& operation)
+{
+    const auto limit = m_limits.find(organisation);
+    if (limit == m_limits.end() || !m_counted.insert(operation).second)
+        return;
+    const auto now = clock::now();
+    auto& seen = m_admitted[organisation];
+    seen.push_back(now);
+    std::erase_if(seen,
+                  [now](const auto& at)
+                  {
+                      return now - at > quota_window;
+                  });
+    const double allowed =
+        (limit->second.m_rate * quota_window.count() + limit->second.m_burst) *
+            quota_over +
+        quota_slack;
+    if (static_cast<double>(seen.size()) > allowed)
+    {
+        broken("QUOTA", organisation + " ran " + std::to_string(seen.size()) +
+                            " operations in 5 s");
+        seen.clear();
+    }
+}
+
+void checker::set_limit(const std::string& organisation, double rate,
+                        double burst)
+{
+    m_limits[organisation] = {rate, burst};
+}
+
+void checker::committed(const commit_ptr& what)
+{
+    for (const auto& id : what->m_writers)
+    {
+        if (m_promised.contains(id))
+            broken("REFUSED", id + " was committed though its caller was told "
+                                   "that nothing is kept");
+        if (!m_commit_of.emplace(id, what).second)
+            broken("TWICE", id + " took effect twice");
+    }
+}
+
+void checker::mixed(const std::string& id, const std::string& owner)
+{
+    const auto found = m_demands.find(id);
+    if (found != m_demands.end() && found->second.m_operation != owner)
+        broken("PINNED", id + " ran inside the transaction of " + owner);
+}
+
+void checker::seen_by_endpoint(const std::string& line)
+{
+    for (const auto& key : m_keys)
+        if (line.find(key) != std::string::npos)
+            broken("UNASKED", "an endpoint saw a caller's key: " + line);
+}
+
+void checker::succeeded(const std::string& id, const commit_ptr& what)
+{
+    if (!what)
+        return;
+    if (what->m_by_old_primary)
+        broken("ONE", id + " was acknowledged by an old primary");
+    what->m_acknowledged = std::min(what->m_acknowledged, clock::now());
+    const auto found = m_demands.find(id);
+    if (found != m_demands.end())
+        m_acknowledged[found->second.m_group].push_back(what);
+}
+
+void checker::promised_nothing(const std::string& id)
+{
+    m_promised.insert(id);
+    const auto found = m_commit_of.find(id);
+    if (found != m_commit_of.end())
+        broken("REFUSED", id + " is committed though its caller was told that "
+                               "nothing is kept");
+}
+
+void checker::promoted(const std::string& holder, std::uint64_t token)
+{
+    const auto [known, added] = m_holders.emplace(token, holder);
+    if (!added && known->second != holder)
+        broken("ONE", holder + " and " + known->second +
+                          " promoted with token " + std::to_string(token));
+    if (token < m_holders.rbegin()->first)
+        broken("ONE", holder + " promoted with the old token " +
+                          std::to_string(token));
+}
+
+commit_ptr checker::commit_of(const std::string& id) const
+{
+    const auto found = m_commit_of.find(id);
+    return found == m_commit_of.end() ? nullptr : found->second;
+}
+
+void checker::broken(const std::string& rule, const std::string& what)
+{
+    m_findings.push_back(rule + ": " + what);
+    std::printf("BROKEN %s\n", m_findings.back().c_str());
+    std::fflush(stdout);
+}
+
+} // namespace magnoliastack::soak
--- /dev/null
+++ b/test/soak/database.hpp
@@ -0,0 +1,128 @@
+// Database groups as the users' platform has them: one primary, replicas that
+// follow its log later, and no promotion but on request.
+#ifndef MAGNOLIASTACK_TEST_SOAK_DATABASE_HPP
+#define MAGNOLIASTACK_TEST_SOAK_DATABASE_HPP
+
+#include "checker.hpp"
+#include "relay.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace magnoliastack::soak
+{
+
+class group;
+
+// One database server in the line protocol.
+class endpoint
+{
+public:
+    endpoint(asio::io_context& loop, group& owner, std::string id,
+             std::string domain, bool primary);
+
+    [[nodiscard]] unsigned short port() const
+    {
+        return m_port;
+    }
+    [[nodiscard]] const std::string& id() const
+    {
+        return m_id;
+    }
+    [[nodiscard]] const std::string& domain() const
+    {
+        return m_domain;
+    }
+    [[nodiscard]] bool runs() const
+    {
+        return m_acceptor.has_value();
+    }
+    // Ends and starts the process; the log lasts.
+    void crash();
+    void start();
+
+    bool m_primary;
+    bool m_leaving = false;
+    // Cut off from the other endpoints of its group.
+    bool m_isolated = false;
+    // How late it shows what it has received.
+    std::chrono::milliseconds m_lag{20};
+    std::uint64_t m_term = 1;
+    std::vector<commit_ptr> m_log;
+    std::size_t m_applied = 0;
+    std::uint64_t m_started_ms = 0;
+
+private:
+    friend class group;
+    struct connection;
+
+    void accept();
+
+    asio::io_context& m_loop;
+    group& m_owner;
+    std::string m_id;
+    std::string m_domain;
+    unsigned short m_port;
+    std::optional<tcp::acceptor> m_acceptor;
+    std::vector<std::shared_ptr<connection>> m_connections;
+    // When each entry of the log that is not applied yet was received.
+    std::deque<clock::time_point> m_received;
+};
+
+// One group.
+class group
+{
+public:
+    group(asio::io_context& loop, checker& judge, std::string name,
+          const std::vector<std::string>& domains);
+
+    // Replication and old primaries; call it every 10 ms.
+    void tick();
+    // False when the endpoint does not run.
+    bool promote(const std::string& id);
+
+    [[nodiscard]] const std::string& name() const
+    {
+        return m_name;
+    }
+    [[nodiscard]] std::vector<std::unique_ptr<endpoint>>& endpoints()
+    {
+        return m_endpoints;
+    }
+    // The endpoint that leads by the newest promotion.
+    [[nodiscard]] endpoint& leader();
+    checker& judge()
+    {
+        return m_judge;
+    }
+    [[nodiscard]] std::uint64_t term() const
+    {
+        return m_term;
+    }
+    // When the newest promotion took effect.
+    [[nodiscard]] clock::time_point promoted_at() const
+    {
+        return m_promoted_at;
+    }
+
+private:
+    void lead(endpoint& chosen);
+    void follow(endpoint& replica, const endpoint& primary);
+
+    asio::io_context& m_loop;
+    checker& m_judge;
+    std::string m_name;
+    std::vector<std::unique_ptr<endpoint>> m_endpoints;
+    std::uint64_t m_term = 1;
+    clock::time_point m_promoted_at;
+    std::optional<std::pair<std::string, clock::time_point>> m_promoting;
+};
+
+} // namespace magnoliastack::soak
+
+#endif
--- /dev/null
+++ b/test/soak/faults.cpp
@@ -0,0 +1,281 @@
+#include "faults.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <csignal>
+
+namespace magnoliastack::soak
+{
+namespace
+{
+
+constexpr std::size_t largest_overlap = 4;
+constexpr std::size_t kinds_of_each = 5;
+
+std::function<void()> nothing()
+{
+    return [] {};
+}
+
+} // namespace
+
+fault_plan::fault_plan(world& where, std::mt19937& random)
+    : m_world(where), m_random(random)
+{
+}
+
+std::size_t fault_plan::draw(std::size_t below)
+{
+    return m_random() % below;
+}
+
+void fault_plan::tick()
+{
+    const auto now = clock::now();
+    for (std::size_t at = 0; at < m_running.size();)
+    {
+        if (now < m_running[at].m_until)
+        {
+            ++at;
+            continue;
+        }
+        auto ended = std::move(m_running[at]);
+        m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(at));
+        ended.m_undo();
+        m_world.disturbed();
+    }
+    if (!m_running.empty())
+        m_world.disturbed();
+    if (now < m_next || m_running.size() >= largest_overlap)
+        return;
+    m_next = now + std::chrono::milliseconds(150 + draw(1200));
+    begin();
+}
+
+void fault_plan::stop()
+{
+    for (auto& item : std::exchange(m_running, {}))
+        item.m_undo();
+    m_world.disturbed();
+}
+
+void fault_plan::begin()
+{
+    std::string name;
+    std::function<void()> undo;
+    const std::size_t kind = draw(kinds_of_each);
+    switch (draw(5))
+    {
+    case 0:
+        undo = begin_on_host(kind, name);
+        break;
+    case 1:
+        undo = begin_on_ways(kind, name);
+        break;
+    case 2:
+        undo = begin_on_store(kind, name);
+        break;
+    case 3:
+        undo = begin_on_endpoint(kind, name);
+        break;
+    default:
+        undo = change_something(kind, name);
+        break;
+    }
+    const auto length = std::chrono::milliseconds(200 + draw(5000));
+    std::printf("fault %s for %lld ms\n", name.c_str(),
+                static_cast<long long>(length.count()));
+    m_running.push_back({name, clock::now() + length, std::move(undo)});
+    m_world.disturbed();
+}
+
+std::function<void()> fault_plan::begin_on_host(std::size_t kind,
+                                                std::string& name)
+{
+    const std::size_t host = draw(m_world.m_hosts.size());
+    name = absl::StrCat("h", host);
+    world& where = m_world;
+    const auto start = [&where, host]
+    {
+        where.start_host(host);
+    };
+    switch (kind)
+    {
+    case 0:
+        name += " killed";
+        m_world.kill_host(host);
+        return start;
+    case 1:
+        name += " stopped";
+        m_world.stop_host(host);
+        return start;
+    case 2:
+        name = "all hosts killed";
+        for (std::size_t each = 0; each < m_world.m_hosts.size(); ++each)
+            m_world.kill_host(each);
+        return [&where]
+        {
+            for (std::size_t each = 0; each < where.m_hosts.size(); ++each)
+                where.start_host(each);
+        };
+    case 3:
+        name += " told to reload";
+        if (m_world.m_hosts[host].m_process)
+            m_world.m_hosts[host].m_process->signal(SIGHUP);
+        return nothing();
+    default:
+        name += " paused";
+        m_world.pause_host(host);
+        return [&where, host]
+        {
+            where.resume_host(host);
+        };
+    }
+}
+
+std::function<void()> fault_plan::begin_on_ways(std::size_t kind,
+                                                std::string& name)
+{
+    entry_host& host = m_world.m_hosts[draw(m_world.m_hosts.size())];
+    std::vector<tcp_relay*> ways{host.m_to_store.get()};
+    for (const auto& item : host.m_to_endpoints)
+        ways.push_back(item.get());
+    if (draw(2) == 0)
+        ways = {ways[draw(ways.size())]};
+    name = absl::StrCat(host.m_name, " ", ways.size(), " ways");
+    link_state state;
+    switch (kind)
+    {
+    case 0:
+        name += " reset";
+        for (auto* way : ways)
+            way->reset();
+        host.m_from_callers->reset();
+        return nothing();
+    case 1:
+        name += " silent";
+        for (auto* way : ways)
+            way->silence();
+        return nothing();
+    case 2:
+        name += " cut one way";
+        state.m_cut_back = true;
+        break;
+    case 3:
+        name += " cut, and from peers";
+        state.m_cut_forward = true;
+        state.m_cut_back = true;
+        host.m_peers_cut = true;
+        break;
+    default:
+        name += " slow";
+        state.m_delay = std::chrono::milliseconds(20 + draw(150));
+        break;
+    }
+    for (auto* way : ways)
+        way->set(state);
+    return [&host, ways]
+    {
+        host.m_peers_cut = false;
+        for (auto* way : ways)
+            way->set({});
+    };
+}
+
+std::function<void()> fault_plan::begin_on_store(std::size_t kind,
+                                                 std::string& name)
+{
+    store& where = *m_world.m_store;
+    const std::size_t hosts = m_world.m_hosts.size();
+    const std::size_t first = draw(2) == 0 ? 0 : draw(hosts);
+    const store_mood moods[] = {store_mood::silent, store_mood::busy,
+                                store_mood::reset};
+    if (kind < 3)
+    {
+        name =
+            absl::StrCat("store away for hosts from ", first, ", way ", kind);
+        for (std::size_t host = first; host < hosts; ++host)
+            where.set_mood(host, moods[kind]);
+        return [&where, hosts]
+        {
+            for (std::size_t host = 0; host < hosts; ++host)
+                where.set_mood(host, store_mood::serving);
+        };
+    }
+    name = kind == 3 ? "store slow" : "store loses answers";
+    if (kind == 3)
+        where.m_slowness = std::chrono::milliseconds(50 + draw(300));
+    else
+    {
+        where.m_lost_part = 0.3;
+        where.m_late_part = 0.2;
+    }
+    return [&where]
+    {
+        where.m_slowness = {};
+        where.m_lost_part = 0;
+        where.m_late_part = 0;
+    };
+}
+
+std::function<void()> fault_plan::begin_on_endpoint(std::size_t kind,
+                                                    std::string& name)
+{
+    group& where = *m_world.m_groups[draw(m_world.m_groups.size())];
+    endpoint& hit = draw(2) == 0
+                        ? where.leader()
+                        : *where.endpoints()[draw(where.endpoints().size())];
+    name = hit.id();
+    switch (kind)
+    {
+    case 0:
+    case 1:
+        name += " crashed";
+        hit.crash();
+        return [&hit]
+        {
+            hit.start();
+        };
+    case 2:
+        name += " cut from its group";
+        hit.m_isolated = true;
+        return [&hit]
+        {
+            hit.m_isolated = false;
+        };
+    case 3:
+        name += " shows its log late";
+        hit.m_lag = std::chrono::milliseconds(1500);
+        return [&hit]
+        {
+            hit.m_lag = std::chrono::milliseconds(20);
+        };
+    default:
+        name += " leaving";
+        hit.m_leaving = true;
+        return [&hit]
+        {
+            hit.m_leaving = false;
+        };
+    }
+}
+
+std::function<void()> fault_plan::change_something(std::size_t kind,
+                                                   std::string& name)
+{
+    world& where = m_world;
+    if (kind < 2)
+    {
+        name = "keys changed";
+        m_world.change_keys();
+        return nothing();
+    }
+    name = "rates lowered";
+    m_world.change_rates(0.5);
+    return [&where]
+    {
+        where.change_rates(1);
+    };
+}
+
+} // namespace magnoliastack::soak
--- /dev/null
+++ b/test/soak/relay.cpp
@@ -0,0 +1,271 @@
+#include "relay.hpp"
+
+#include <deque>
+#include <string>
+#include <unistd.h>
+
+namespace magnoliastack::soak
+{
+namespace
+{
+
+using error_code = boost::system::error_code;
+
+// Bytes that a cut or slow way holds before the sender is no longer read.
+constexpr std::size_t largest_held = 1U << 20;
+// How often held bytes are looked at.
+constexpr std::chrono::milliseconds retry_interval{5};
+
+const auto loopback = asio::ip::address_v4::loopback();
+
+// Below the range from which the system takes ports for outgoing connections,
+// so that none takes a host's port while the host is down.
+constexpr unsigned lowest_port = 11'000;
+constexpr unsigned ports = 15'000;
+
+void abort_socket(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace
+
+unsigned short unused_port(asio::io_context& loop)
+{
+    static unsigned next = static_cast<unsigned>(getpid()) * 61;
+    while (true)
+    {
+        const auto port =
+            static_cast<unsigned short>(lowest_port + next++ % ports);
+        error_code error;
+        tcp::acceptor probe(loop);
+        probe.open(tcp::v4(), error);
+        probe.set_option(tcp::acceptor::reuse_address(true), error);
+        probe.bind({loopback, port}, error);
+        if (!error)
+            return port;
+    }
+}
+
+struct tcp_relay::connection : std::enable_shared_from_this<connection>
+{
+    using clock = std::chrono::steady_clock;
+
+    // One of the two directions.
+    struct direction
+    {
+        tcp::socket* m_from;
+        tcp::socket* m_to;
+        bool m_forward;
+        std::array<char, 16384> m_buffer{};
+        std::deque<std::pair<clock::time_point, std::string>> m_held;
+        std::size_t m_held_bytes = 0;
+        bool m_writing = false;
+        bool m_ended = false;
+    };
+
+    connection(tcp_relay& owner, tcp::socket client)
+        : m_owner(owner), m_client(std::move(client)), m_server(owner.m_loop),
+          m_timer(owner.m_loop), m_out{&m_client, &m_server, true, {}, {}},
+          m_back{&m_server, &m_client, false, {}, {}}
+    {
+    }
+
+    void start()
+    {
+        m_server.async_connect({loopback, m_owner.m_server},
+                               [self = shared_from_this()](error_code error)
+                               {
+                                   if (error)
+                                       self->stop();
+                                   else
+                                       self->connected();
+                               });
+    }
+
+    void connected()
+    {
+        error_code ignored;
+        m_client.set_option(tcp::no_delay(true), ignored);
+        m_server.set_option(tcp::no_delay(true), ignored);
+        read(m_out);
+        read(m_back);
+        look();
+    }
+
+    void read(direction& way)
+    {
+        way.m_from->async_read_some(
+            asio::buffer(way.m_buffer),
+            [self = shared_from_this(), &way](error_code error,
+                                              std::size_t count)
+            {
+                if (error)
+                {
+                    // What a cut holds is lost when its sender goes away.
+                    way.m_ended = true;
+                    if (self->is_held(way) || way.m_held.empty())
+                        self->stop();
+                    return;
+                }
+                if (!self->m_silent)
+                {
+                    way.m_held.emplace_back(
+                        clock::now() + self->m_owner.m_state.m_delay,
+                        std::string(way.m_buffer.data(), count));
+                    way.m_held_bytes += count;
+                }
+                self->pass(way);
+                if (way.m_held_bytes < largest_held)
+                    self->read(way);
+                else
+                    self->stop();
+            });
+    }
+
+    [[nodiscard]] bool is_held(const direction& way) const
+    {
+        return m_silent || (way.m_forward ? m_owner.m_state.m_cut_forward
+                                          : m_owner.m_state.m_cut_back);
+    }
+
+    void pass(direction& way)
+    {
+        if (way.m_writing || way.m_held.empty() || is_held(way) ||
+            way.m_held.front().first > clock::now())
+            return;
+        way.m_writing = true;
+        asio::async_write(
+            *way.m_to, asio::buffer(way.m_held.front().second),
+            [self = shared_from_this(), &way](error_code error, std::size_t n)
+            {
+                way.m_writing = false;
+                if (error)
+                {
+                    self->stop();
+                    return;
+                }
+                way.m_held_bytes -= n;
+                way.m_held.pop_front();
+                if (way.m_ended && way.m_held.empty())
+                    self->stop();
+                else
+                    self->pass(way);
+            });
+    }
+
+    void look()
+    {
+        m_timer.expires_after(retry_interval);
+        m_timer.async_wait(
+            [weak = weak_from_this()](error_code error)
+            {
+                const auto self = weak.lock();
+                if (error || !self || self->m_stopped)
+                    return;
+                self->pass(self->m_out);
+                self->pass(self->m_back);
+                self->look();
+            });
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        error_code ignored;
+        m_client.close(ignored);
+        m_server.close(ignored);
+        m_timer.cancel();
+    }
+
+    void reset()
+    {
+        abort_socket(m_client);
+        abort_socket(m_server);
+        stop();
+    }
+
+    tcp_relay& m_owner;
+    tcp::socket m_client;
+    tcp::socket m_server;
+    asio::steady_timer m_timer;
+    direction m_out;
+    direction m_back;
+    bool m_silent = false;
+    bool m_stopped = false;
+};
+
+tcp_relay::tcp_relay(asio::io_context& loop, unsigned short server)
+    : m_loop(loop), m_server(server), m_acceptor(loop, {loopback, 0})
+{
+    accept();
+}
+
+void tcp_relay::accept()
+{
+    m_acceptor.async_accept(
+        [this](error_code error, tcp::socket socket)
+        {
+            if (error)
+                return;
+            auto added = std::make_shared<connection>(*this, std::move(socket));
+            m_connections.remove_if(
+                [](const auto& item)
+                {
+                    return item.expired();
+                });
+            m_connections.push_back(added);
+            added->start();
+            accept();
+        });
+}
+
+void tcp_relay::set(const link_state& state)
+{
+    m_state = state;
+}
+
+void tcp_relay::reset()
+{
+    for (const auto& item : m_connections)
+        if (const auto live = item.lock())
+            live->reset();
+}
+
+void tcp_relay::silence()
+{
+    for (const auto& item : m_connections)
+        if (const auto live = item.lock())
+            live->m_silent = true;
+}
+
+udp_relay::udp_relay(asio::io_context& loop, unsigned short host, filter passes)
+    : m_socket(loop, udp::endpoint(loopback, 0)), m_host(loopback, host),
+      m_passes(std::move(passes))
+{
+    receive();
+}
+
+void udp_relay::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_from,
+                                [this](error_code error, std::size_t count)
+                                {
+                                    if (error == asio::error::operation_aborted)
+                                        return;
+                                    if (!error && m_passes(m_from.port()))
+                                    {
+                                        // A host that does not run refuses; the
+                                        // datagram is lost.
+                                        error_code ignored;
+                                        m_socket.send_to(
+                                            asio::buffer(m_buffer, count),
+                                            m_host, 0, ignored);
+                                    }
+                                    receive();
+                                });
+}
+
+} // namespace magnoliastack::soak
--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -34,6 +34,9 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (getppid() != parent || dup2(output, 1) < 0 || dup2(output, 2) < 0)
             _exit(127);
+        // Sockets of the test are not the child's: a listener that it held
+        // would keep its port in use.
+        close_range(3, ~0U, 0);
         execv(path.c_str(), argv.data());
         _exit(127);
     }
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -24,6 +24,12 @@
 
     void signal(int number) const;
 
+    // The process has been waited for elsewhere.
+    void forget()
+    {
+        m_pid = -1;
+    }
+
     // Waits up to `seconds` for the exit; the exit code, or -1 when a signal
     // ended it or it still runs.
     int wait_for_exit(int seconds);
