Keep the part of hosts that were never heard until their reliance lapsed

Change: such a host counts until its reliance has lapsed, like any other. The test fails without it (10 operations where 5 may be given out) and passes. Ruled out: dividing by the marks for the sake of a fleet that restarts without one of its hosts; it gets a quarter of its rates for some seconds now.

--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -238,8 +238,8 @@
 }
 
 // In a small fleet a host that is silent may be serving its part of the rates
-// until its reliance has lapsed. One that this process has never heard counts
-// until it is marked only: after a restart of the fleet it is most likely gone.
+// until its reliance has lapsed, also one that this process has never heard: a
+// host that is cut off from its peers and reaches the store marks them all.
 void fleet_service::update_shares(base::instant now)
 {
     bool unheard = false;
@@ -247,9 +247,8 @@
     {
         if (host == m_options.m_self || m_members.is_heard(item, now))
             continue;
-        const bool ended =
-            item.m_report ? has_lapsed(item, now) || item.m_report->m_leaving
-                          : item.m_row.m_out_since.has_value();
+        const bool ended = has_lapsed(item, now) ||
+                           (item.m_report && item.m_report->m_leaving);
         if (ended)
             m_shares.ended(host);
         else
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -197,3 +197,43 @@
     f.run(absl::Seconds(2));
     cr_assert(f.host(0).m_host.is_drained());
 }
+
+// Soak seed 11: after a restart of all hosts one was cut off from its peers. It
+// marked them all, took the whole rate, and so did they without it.
+Test(fleet, a_host_that_hears_nobody_does_not_take_the_whole_rate)
+{
+    constexpr double rate = 10;
+    constexpr double burst = 5;
+    // The others may go on for 5 s after they were confirmed.
+    constexpr int seconds = 5;
+    fleet_fixture f;
+    auto limited = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    limited->m_version = base::configuration_version(2);
+    const base::organisation_id who("souq");
+    limited->m_organisations[who] = {who, rate, burst};
+    f.m_platform.m_configuration = limited;
+    f.m_hosts.erase(f.m_hosts.begin() + 2);
+    f.m_hosts.push_back(
+        std::make_unique<fake_host>("h2", f.m_platform, f.m_clock));
+    fake_host& lonely = *f.m_hosts.back();
+    lonely.m_heard = false;
+    f.run(absl::Milliseconds(500));
+    f.host(0).m_store.m_reachable = false;
+    f.host(1).m_store.m_reachable = false;
+    driver caller(lonely);
+    std::size_t served = 0;
+    for (std::uint64_t session = 1; session <= seconds * 20; ++session)
+    {
+        caller.start(session, "settle");
+        caller.say(session, statement_kind::write, "WRITE a b");
+        while (const auto request = caller.next_statement())
+            caller.succeed(*request);
+        f.run(absl::Milliseconds(50));
+        served += caller.was_answered(session, "done signature") ? 1 : 0;
+    }
+    // The others may give out all but the hosts' even parts of a quarter of the
+    // rate; a bucket holds one token at least.
+    cr_assert_leq(static_cast<double>(served), rate * seconds * 0.25 / 3 + 1);
+    cr_assert_geq(served, 1);
+}
