--- a/lib/standin_server/endpoint_server.cpp
+++ b/lib/standin_server/endpoint_server.cpp
@@ -1,11 +1,11 @@
 #include "magnoliastack/standin_server/endpoint_server.hpp"
 
 #include "conversion.hpp"
+#include "pull_client.hpp"
 #include "reactors.hpp"
 #include "state_file.hpp"
 #include "work_loop.hpp"
 
-#include "magnoliastack/grpc_calls/live_calls.hpp"
 #include "magnoliastack/logging/logging.hpp"
 #include "magnoliastack/standin/fault_filter.hpp"
 #include "magnoliastack/v1/endpoint.grpc.pb.h"
@@ -18,7 +18,6 @@
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -35,97 +34,6 @@
 // Statuses are pushed at most once in this time, so that a burst of writes
 // does not cost a message each.
 constexpr absl::Duration push_interval = absl::Milliseconds(1);
-// A pull waits for 50 ms at the primary; a longer silence is a lost pull.
-constexpr absl::Duration pull_timeout = absl::Milliseconds(500);
-
-// Pulls from the other members; answers come from gRPC's threads.
-class pull_client
-{
-public:
-    using callback = std::function<void(base::result<standin::pull_answer>)>;
-
-    explicit pull_client(
-        const std::map<base::endpoint_id, std::string>& addresses)
-    {
-        grpc::ChannelArguments arguments;
-        // The default backoff of up to two minutes would keep a replica from
-        // a member that has come back.
-        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
-        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
-        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
-        for (const auto& [name, address] : addresses)
-            m_stubs[name] = v1::Endpoint::NewStub(grpc::CreateCustomChannel(
-                address, grpc::InsecureChannelCredentials(), arguments));
-    }
-
-    // Cancels what is under way and waits for its callbacks. No pull may be
-    // started any more.
-    void stop()
-    {
-        {
-            const std::lock_guard lock(m_calls->m_mutex);
-            for (const auto& item : m_calls->m_under_way)
-                item->m_context.TryCancel();
-        }
-        m_calls->m_live.wait_for_none();
-    }
-
-    // False when the member's address is not known.
-    bool pull(const base::endpoint_id& member,
-              const standin::pull_request& request, callback done)
-    {
-        const auto found = m_stubs.find(member);
-        if (found == m_stubs.end())
-            return false;
-        auto item = std::make_shared<call>();
-        item->m_request = to_message(request);
-        item->m_context.set_deadline(std::chrono::system_clock::now() +
-                                     absl::ToChronoNanoseconds(pull_timeout));
-        m_calls->m_live.begin();
-        {
-            const std::lock_guard lock(m_calls->m_mutex);
-            m_calls->m_under_way.insert(item);
-        }
-        found->second->async()->Pull(
-            &item->m_context, &item->m_request, &item->m_response,
-            [calls = m_calls, item,
-             done = std::move(done)](const grpc::Status& status) mutable
-            {
-                if (status.ok())
-                    done(to_answer(item->m_response));
-                else
-                    done(base::fail(base::error_code::unavailable,
-                                    status.error_message()));
-                {
-                    const std::lock_guard lock(calls->m_mutex);
-                    calls->m_under_way.erase(item);
-                }
-                calls->m_live.end(std::move(item));
-            });
-        return true;
-    }
-
-private:
-    struct call
-    {
-        grpc::ClientContext m_context;
-        v1::PullRequest m_request;
-        v1::PullResponse m_response;
-    };
-
-    // Outlives the client until the last callback has let go of the mutex.
-    struct calls_under_way
-    {
-        std::mutex m_mutex;
-        grpc_calls::live_calls m_live;
-        std::set<std::shared_ptr<call>> m_under_way;
-    };
-
-    std::map<base::endpoint_id, std::unique_ptr<v1::Endpoint::Stub>> m_stubs;
-    std::shared_ptr<calls_under_way> m_calls =
-        std::make_shared<calls_under_way>();
-};
-
 // Connects the model to gRPC. All state belongs to the loop's thread; the
 // public functions may be called from any thread.
 class endpoint_core
