--- a/lib/entry/session_tokens.cpp
+++ b/lib/entry/session_tokens.cpp
@@ -21,8 +21,8 @@
     if (!comes_soon && (!asked || waiting.size() >= m_options.m_largest_queue))
     {
         refuse(who, what,
-               {statement_error::busy, "the organisation's rate is used up",
-                false});
+               {statement_error::busy,
+                "no token of the organisation's rate is left", false});
         return;
     }
     who.m_awaits_token = true;
@@ -101,9 +101,9 @@
         return;
     session& session = *found->second;
     session.m_awaits_token = false;
-    refuse(
-        session, item.m_statement,
-        {statement_error::busy, "the organisation's rate is used up", false});
+    refuse(session, item.m_statement,
+           {statement_error::busy,
+            "no token of the organisation's rate is left", false});
     serve_next(session, now);
 }
 
