Divide rates evenly in small fleets and move tokens instead of shares

Cause: parts of a rate followed demand, so they had to be agreed on. While one host could not be heard no part rose, and a host that restarted had a quarter of an even part until every other host was heard.

Now every host that may be serving has the same part, whether it is heard or not; tokens move to the host that needs them. A host that joins waits until all others count it, which their reports show. A token goes back when no endpoint was asked to run the operation, and a host that may not give out tokens for a while keeps them, since nobody divides its part before it is marked. Rows of members travel in datagrams, so that a host which reaches only its peers learns them, and a version of members counts as known only with all rows before it: until now a host's own change could hide an older one.

Weighed: a leased part renewed by what a host hears. It needs the same waiting at a silent host, for less than the lending brings. Weighed: homes in small fleets. A lost home takes a quarter of the rate, an even part a ninth.

--- a/include/magnoliastack/admission/token_bucket.hpp
+++ b/include/magnoliastack/admission/token_bucket.hpp
@@ -58,6 +58,11 @@
     // Takes one token. False when there is none or the limits have lapsed.
     bool try_take(base::instant now);
 
+    // Puts a token back that was taken for a request that never ran. The
+    // requests that do run stay within the bound, since without this one the
+    // bucket would hold as much at least.
+    void give_back(base::instant now);
+
     // How long until a token is there, at the present limits. Infinite when
     // the rate is zero or the capacity is below one token.
     [[nodiscard]] absl::Duration wait_for_token(base::instant now) const;
--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -75,10 +75,10 @@
     // `at` is a time of the store after the change.
     virtual void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                              base::instant now) = 0;
-    // There was no newer row than those passed on so far at `at`, a time of the
-    // store between `sent` and now.
-    virtual void rows_confirmed(rpc::store_instant at, base::instant sent,
-                                base::instant now) = 0;
+    // All rows up to `version` have been passed on, and there was no newer one
+    // at `at`, a time of the store between `sent` and now.
+    virtual void rows_confirmed(rpc::row_version version, rpc::store_instant at,
+                                base::instant sent, base::instant now) = 0;
 };
 
 // Follows the configuration, the endpoints and the fleet's rows, each by
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -3,11 +3,13 @@
 #define MAGNOLIASTACK_ENTRY_FLEET_SERVICE_HPP
 
 #include "magnoliastack/entry/statement_runner.hpp"
+#include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
 #include "magnoliastack/handover/promotion.hpp"
 #include "magnoliastack/lease/currency.hpp"
 #include "magnoliastack/lease/store_clock.hpp"
-#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/demand_table.hpp"
+#include "magnoliastack/quota/even_shares.hpp"
 #include "magnoliastack/quota/home_hosts.hpp"
 
 #include <functional>
@@ -61,6 +63,14 @@
     metrics::registry& m_metrics;
 };
 
+// How rates are divided; the service tells them of changes of the fleet.
+struct fleet_quotas
+{
+    quota::demand_table& m_demand;
+    quota::even_shares& m_shares;
+    quota::home_hosts& m_homes;
+};
+
 // Where tokens of an organisation's rate come from when the host has none.
 class token_source
 {
@@ -86,9 +96,9 @@
     // Tokens to be spent at once.
     virtual void tokens_granted(const base::organisation_id& who,
                                 std::uint32_t amount, base::instant now) = 0;
-    // Whole tokens at hand, to tell the others.
-    [[nodiscard]] virtual std::uint32_t tokens(const base::organisation_id& who,
-                                               base::instant now) const = 0;
+    // Whole tokens at hand of each organisation, to tell the others.
+    [[nodiscard]] virtual std::map<base::organisation_id, std::uint32_t>
+    tokens(base::instant now) const = 0;
 };
 
 // Knows which endpoint leads each group and for how long that may be relied
@@ -97,7 +107,7 @@
 {
 public:
     fleet_service(fleet_options options, fleet_links links,
-                  quota::demand_shares& shares, quota::home_hosts& homes);
+                  fleet_quotas quotas);
 
     // Set once, before use.
     void set_runner(statement_runner& runner)
@@ -115,8 +125,8 @@
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints);
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now);
-    void rows_confirmed(rpc::store_instant at, base::instant sent,
-                        base::instant now);
+    void rows_confirmed(rpc::row_version version, rpc::store_instant at,
+                        base::instant sent, base::instant now);
     void datagram_received(std::string_view bytes);
 
     // Planned stop: this host relies on nothing any more.
@@ -195,13 +205,16 @@
     void register_self(base::instant now);
     void mark_silent(base::instant now);
     void change_members(const rpc::fleet_change& change,
-                        std::function<void()> applied);
+                        std::function<void(rpc::store_instant)> applied);
     void change_rows(const rpc::fleet_change& change, absl::Duration timeout,
                      rpc::fleet_store::callback<rpc::change_outcome> done);
     void take_member(const fleet::member_row& row, rpc::row_version version,
                      rpc::store_instant at, base::instant now);
     [[nodiscard]] bool has_lapsed(const fleet::member& host,
                                   base::instant now) const;
+    [[nodiscard]] bool are_all_rows_current(base::instant now) const;
+    [[nodiscard]] bool counts_self(const fleet::member& host,
+                                   base::instant now) const;
     void stop_moving(const base::group_id& id, group_leadership& group,
                      base::instant now);
     void replace_primary(const base::group_id& id, group_leadership& group,
@@ -240,6 +253,8 @@
     void tell_suspicions(base::instant now);
     void try_suspects(const fleet::host_report& report, base::instant now);
     void take_rows(const fleet::host_report& report, base::instant now);
+    void take_members(const fleet::member_update& update, base::instant now);
+    void pass_members_on(const fleet::member& to, base::instant now);
     void take_report(fleet::host_report report, base::instant now);
     void take_request(const fleet::token_transfer& request, base::instant now);
     void take_grant(const fleet::token_transfer& grant, base::instant now);
@@ -250,7 +265,8 @@
 
     fleet_options m_options;
     fleet_links m_links;
-    quota::demand_shares& m_shares;
+    quota::demand_table& m_demand;
+    quota::even_shares& m_shares;
     quota::home_hosts& m_homes;
     statement_runner* m_runner = nullptr;
     token_receiver* m_tokens = nullptr;
@@ -263,10 +279,13 @@
     rpc::row_version m_duty_version;
     std::vector<catalogue::endpoint_entry> m_entries;
     base::configuration_version m_configuration;
-    // The rows of leadership and of members were as this host knows them at
-    // this time. Only that may be told others: a host that does not know that
-    // another one is marked as out must not extend its reliance.
-    rpc::store_instant m_all_rows_at;
+    // Until when the rows of members may be relied on as well. Only that may be
+    // told others: a host that does not know that another one is marked as out
+    // must not extend its reliance.
+    lease::currency m_all_rows;
+    fleet::member_relay m_relay;
+    // The store's time after the change that registered this process.
+    std::optional<rpc::store_instant> m_registered_at;
     // A peer has told of a leadership row that this host lacks.
     bool m_row_missing = false;
     std::uint64_t m_endpoints_digest = 0;
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -6,7 +6,7 @@
 #include "magnoliastack/entry/fleet_service.hpp"
 #include "magnoliastack/entry/session_service.hpp"
 #include "magnoliastack/entry/statement_runner.hpp"
-#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/demand_table.hpp"
 
 #include <optional>
 #include <string_view>
@@ -107,8 +107,8 @@
     void endpoints_read(std::uint64_t digest, rpc::store_instant at) override;
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now) override;
-    void rows_confirmed(rpc::store_instant at, base::instant sent,
-                        base::instant now) override;
+    void rows_confirmed(rpc::row_version version, rpc::store_instant at,
+                        base::instant sent, base::instant now) override;
 
 private:
     void apply_endpoints(base::instant now);
@@ -118,8 +118,10 @@
     host_options m_options;
     host_links m_links;
     logging::logger m_log{"host"};
-    quota::demand_shares m_shares;
+    quota::demand_table m_demand;
+    quota::even_shares m_shares;
     quota::home_hosts m_homes;
+    quota::token_gate m_gate;
     fleet_service m_fleet;
     session_service m_service;
     statement_runner m_runner;
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -75,6 +75,9 @@
     bool m_read_only = false;
     // The transaction has sent a write.
     bool m_wrote = false;
+    // The operation has not been sent to an endpoint yet, so its token of the
+    // organisation's rate may be returned.
+    bool m_holds_token = false;
     // The endpoint has rolled the open transaction back; the caller learns it
     // from its next statement.
     bool m_lost = false;
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -4,7 +4,7 @@
 
 #include "magnoliastack/entry/fleet_service.hpp"
 #include "magnoliastack/entry/statement_runner.hpp"
-#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/demand_table.hpp"
 #include "magnoliastack/quota/token_gate.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
 
@@ -43,7 +43,7 @@
 {
 public:
     session_service(session_options options, rpc::session_link& link,
-                    quota::demand_shares& shares, quota::home_hosts& homes,
+                    quota::demand_table& demand, quota::token_gate& gate,
                     metrics::registry& metrics, const base::clock& clock);
 
     // The runner that runs the sessions' statements; set once, before use.
@@ -92,8 +92,8 @@
                               std::uint32_t amount, base::instant now) override;
     void tokens_granted(const base::organisation_id& who, std::uint32_t amount,
                         base::instant now) override;
-    [[nodiscard]] std::uint32_t tokens(const base::organisation_id& who,
-                                       base::instant now) const override;
+    [[nodiscard]] std::map<base::organisation_id, std::uint32_t>
+    tokens(base::instant now) const override;
 
 private:
     // An operation that waits for a token.
@@ -137,7 +137,8 @@
 
     session_options m_options;
     rpc::session_link& m_link;
-    quota::demand_shares& m_shares;
+    quota::demand_table& m_demand;
+    quota::token_gate& m_gate;
     metrics::registry& m_metrics;
     const base::clock& m_clock;
     logging::logger m_log{"session"};
@@ -145,7 +146,6 @@
     rpc::configuration_ptr m_configuration;
     absl::flat_hash_map<rpc::session_number, std::unique_ptr<session>>
         m_sessions;
-    quota::token_gate m_gate;
     token_source* m_token_source = nullptr;
     std::map<base::organisation_id, std::deque<token_waiter>> m_token_waiters;
 };
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -34,10 +34,12 @@
     absl::Duration m_latest_write = absl::Seconds(10);
     // A host is taken to live while it was heard within so many of its turns.
     int m_live_turns = 4;
-    // A host that was not heard for so many turns is marked as out. Its
-    // reliance on rows then lapses before anybody has to wait for it, and a
-    // host that reaches the store simply registers again.
+    // A host that was not heard for so many turns, and for so long, is marked
+    // as out: after that nobody waits for it any more, and its part of the
+    // rates is divided. Hosts that were only cut off for some seconds go on as
+    // before; one that was marked has to join anew.
     int m_out_turns = 6;
+    absl::Duration m_out_after = absl::Seconds(8);
     // For this long after its start a host counts hosts that it has not heard
     // yet as live, so that not every host of a fleet that starts takes itself
     // for the only one.
@@ -68,6 +70,8 @@
     // `at` is a time of the store after the change.
     void row_changed(const member_row& row, rpc::row_version version,
                      rpc::store_instant at, base::instant now);
+    // All rows up to this version are known now.
+    void rows_complete(rpc::row_version version);
     // False when a newer report is known or the host has no such row.
     bool report_received(host_report report, base::instant now);
 
@@ -79,11 +83,17 @@
     // Time between two reports of this member, or to it.
     [[nodiscard]] absl::Duration turn(const member& of) const;
 
-    // Highest version of a member's row.
-    [[nodiscard]] rpc::row_version newest_version() const
+    // Highest version of a member's row that is known with all rows before it.
+    [[nodiscard]] rpc::row_version complete_version() const
     {
-        return m_newest;
+        return m_complete;
     }
+    // Up to `limit` members whose rows are newer than `version`, the oldest
+    // first, as far as all rows before them are known.
+    [[nodiscard]] std::vector<const member*>
+    rows_after(rpc::row_version version, std::size_t limit) const;
+    // True when the host has told that it knows this host's present row.
+    [[nodiscard]] bool knows_own_row(const member& item) const;
 
     // All hosts whose row is not marked, this one included.
     [[nodiscard]] std::size_t size() const;
@@ -121,7 +131,7 @@
     base::incarnation m_incarnation;
     member_options m_options;
     std::map<base::host_id, member> m_members;
-    rpc::row_version m_newest;
+    rpc::row_version m_complete;
     // Other hosts that may be told, in the own failure domain and elsewhere;
     // counted when a row changes, since each look at a host needs them.
     std::size_t m_near = 0;
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -5,7 +5,7 @@
 #include "magnoliastack/base/error.hpp"
 #include "magnoliastack/base/ids.hpp"
 #include "magnoliastack/fleet/rows.hpp"
-#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/demand_table.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
 
 #include "absl/time/time.h"
@@ -51,8 +51,6 @@
     bool m_store_reachable = false;
     base::configuration_version m_configuration;
     rpc::store_instant m_confirmed_at;
-    // The store's time of the report.
-    rpc::store_instant m_told_at;
     // Highest version of a member's row that the host knows, with all before.
     rpc::row_version m_members_version;
     // Endpoints as the host has read them last, and when it did.
@@ -62,6 +60,22 @@
     std::vector<group_report> m_groups;
 };
 
+// Rows of members, passed on to a host that has told that it lacks them.
+struct member_update
+{
+    struct item
+    {
+        member_row m_row;
+        rpc::row_version m_version;
+    };
+
+    // The rows follow this version, and all up to m_complete are among them.
+    rpc::row_version m_after;
+    rpc::row_version m_complete;
+    // The oldest first.
+    std::vector<item> m_rows;
+};
+
 // Tokens of an organisation's rate on their way between two hosts.
 struct token_transfer
 {
@@ -82,7 +96,8 @@
     token_transfer m_tokens;
 };
 
-using datagram = std::variant<host_report, token_request, token_grant>;
+using datagram =
+    std::variant<host_report, token_request, token_grant, member_update>;
 
 std::string encode(const datagram& what);
 // `corrupt` when the bytes are no datagram.
--- a/include/magnoliastack/fleet/rows.hpp
+++ b/include/magnoliastack/fleet/rows.hpp
@@ -23,6 +23,9 @@
     // `ip:port` for datagrams of other hosts.
     std::string m_address;
     base::failure_domain_id m_failure_domain;
+    // Since when its host has been a member, restarts included: a time of the
+    // store after which every host either knows that or relies on no row.
+    rpc::store_instant m_member_since;
     // Its host relies on no row until it has written the row anew. The time
     // is the store's at the marking.
     std::optional<rpc::store_instant> m_out_since;
--- a/include/magnoliastack/quota/home_hosts.hpp
+++ b/include/magnoliastack/quota/home_hosts.hpp
@@ -65,12 +65,16 @@
     // first ones that are set.
     void resume();
 
-    // While it is true this host gives out nothing: it cannot know whether it
-    // is a home still.
+    // While it is true this host may give out nothing: it cannot know whether
+    // it is a home still.
     void set_suspended(bool suspended)
     {
         m_suspended = suspended;
     }
+    [[nodiscard]] bool may_use() const
+    {
+        return !m_suspended;
+    }
 
     [[nodiscard]] bool is_large_fleet() const
     {
@@ -81,7 +85,7 @@
     // the organisation's burst.
     void limit_homes(const base::organisation_id& who, std::size_t count);
 
-    // This host's part of the rate.
+    // This host's part of the rate, also while it may not be used.
     [[nodiscard]] double share(const base::organisation_id& who,
                                base::instant now);
 
--- a/include/magnoliastack/quota/token_gate.hpp
+++ b/include/magnoliastack/quota/token_gate.hpp
@@ -4,7 +4,7 @@
 
 #include "magnoliastack/admission/token_bucket.hpp"
 #include "magnoliastack/catalogue/configuration.hpp"
-#include "magnoliastack/quota/demand_shares.hpp"
+#include "magnoliastack/quota/even_shares.hpp"
 #include "magnoliastack/quota/home_hosts.hpp"
 
 #include <cstdint>
@@ -28,7 +28,7 @@
 class token_gate
 {
 public:
-    token_gate(demand_shares& shares, home_hosts& homes,
+    token_gate(const even_shares& shares, home_hosts& homes,
                gate_options options = {});
 
     // False when there is no token; an organisation without limits has always
@@ -36,6 +36,9 @@
     bool try_take(const catalogue::configuration& limits,
                   const base::organisation_id& who, base::instant now);
 
+    // Returns the token of an operation that no endpoint was asked to run.
+    void give_back(const base::organisation_id& who, base::instant now);
+
     // Applies the present shares. Call it more often than the validity: a
     // bucket gains nothing on a share that has lapsed.
     void refresh(const catalogue::configuration& limits, base::instant now);
@@ -54,14 +57,19 @@
     // Whole tokens in the bucket.
     [[nodiscard]] std::uint32_t tokens(const base::organisation_id& who,
                                        base::instant now) const;
+    // The same of each organisation that has limits.
+    [[nodiscard]] std::map<base::organisation_id, std::uint32_t>
+    all_tokens(base::instant now) const;
 
 private:
+    // False while nothing may be given out; tokens accrue meanwhile.
+    [[nodiscard]] bool may_use() const;
     // Null without limits.
     admission::token_bucket* bucket(const catalogue::configuration& limits,
                                     const base::organisation_id& who,
                                     base::instant now);
 
-    demand_shares& m_shares;
+    const even_shares& m_shares;
     home_hosts& m_homes;
     gate_options m_options;
     std::map<base::organisation_id, admission::token_bucket> m_buckets;
--- a/lib/admission/token_bucket.cpp
+++ b/lib/admission/token_bucket.cpp
@@ -58,6 +58,12 @@
     return true;
 }
 
+void token_bucket::give_back(base::instant now)
+{
+    advance(now);
+    m_tokens = std::min(m_capacity, m_tokens + 1.0);
+}
+
 absl::Duration token_bucket::wait_for_token(base::instant now) const
 {
     const double present = tokens(now);
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -253,7 +253,7 @@
         m_fleet.m_next = now + m_options.m_member_pause;
     for (const auto& row : change.m_rows)
         m_newest_row = std::max(m_newest_row, row.m_version);
-    m_events.rows_confirmed(change.m_at, sent, now);
+    m_events.rows_confirmed(change.m_version, change.m_at, sent, now);
 }
 
 } // namespace magnoliastack::entry
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -17,17 +17,13 @@
     report.m_leaving = m_leaving;
     report.m_store_reachable = m_store_reachable;
     report.m_configuration = m_configuration;
-    report.m_confirmed_at = m_all_rows_at;
-    report.m_members_version = m_members.newest_version();
+    report.m_confirmed_at = m_all_rows.confirmed_at();
+    report.m_members_version = m_members.complete_version();
     report.m_endpoints_digest = m_endpoints_digest;
     report.m_endpoints_read_at = m_endpoints_read_at;
-    report.m_told_at =
-        m_store_clock.earliest(now).value_or(rpc::store_instant());
     // A large fleet divides neither rates nor connections by demand.
     if (!m_homes.is_large_fleet())
-        report.m_demand = m_shares.report(now);
-    for (auto& item : report.m_demand)
-        item.m_tokens = m_tokens->tokens(item.m_organisation, now);
+        report.m_demand = m_demand.report(m_tokens->tokens(now), now);
     for (const auto& [id, group] : m_groups)
         report.m_groups.push_back(make_group_report(id, group, now));
     return report;
@@ -160,25 +156,22 @@
         take_request(request->m_tokens, now);
     else if (const auto* grant = std::get_if<fleet::token_grant>(&*what))
         take_grant(grant->m_tokens, now);
+    else if (const auto* update = std::get_if<fleet::member_update>(&*what))
+        take_members(*update, now);
 }
 
 void fleet_service::take_report(fleet::host_report report, base::instant now)
 {
     const base::host_id host = report.m_host;
-    const fleet::member* known = m_members.find(host);
-    const bool missed = known == nullptr || !known->m_report ||
-                        known->m_report->m_number + 1 != report.m_number;
     if (!m_members.report_received(std::move(report), now))
         return;
     const fleet::host_report& taken = *m_members.find(host)->m_report;
     if (taken.m_leaving)
-        m_shares.ended(host);
+        m_demand.ended(host);
     else
-        m_shares.reported(
-            host, taken.m_demand,
-            {m_store_clock.not_after(taken.m_told_at, now).value_or(now), now},
-            missed);
+        m_demand.reported(host, taken.m_demand);
     take_rows(taken, now);
+    pass_members_on(*m_members.find(host), now);
     if (taken.m_endpoints_read_at > m_endpoints_read_at &&
         taken.m_endpoints_digest != m_endpoints_digest)
         m_has_peer_newer_endpoints = true;
@@ -211,8 +204,34 @@
     if (!knows_all)
         return;
     m_currency.confirmed(report.m_confirmed_at);
-    if (report.m_members_version <= m_members.newest_version())
-        m_all_rows_at = std::max(m_all_rows_at, report.m_confirmed_at);
+    if (report.m_members_version <= m_members.complete_version())
+        m_all_rows.confirmed(report.m_confirmed_at);
+}
+
+// Rows of a process that has been replaced meanwhile are older and change
+// nothing.
+void fleet_service::take_members(const fleet::member_update& update,
+                                 base::instant now)
+{
+    const auto changed_by = m_store_clock.latest(now);
+    if (!changed_by)
+        return;
+    for (const auto& item : update.m_rows)
+        take_member(item.m_row, item.m_version, *changed_by, now);
+    if (update.m_after <= m_members.complete_version())
+        m_members.rows_complete(update.m_complete);
+}
+
+// Hosts that follow the store learn the rows there.
+void fleet_service::pass_members_on(const fleet::member& to, base::instant now)
+{
+    if (to.m_row.m_out_since || to.m_report->m_store_reachable)
+        return;
+    const auto update = m_relay.next(m_members, to, now);
+    if (!update)
+        return;
+    m_links.m_metrics.counter("members.passed_on").add(update->m_rows.size());
+    m_links.m_datagrams.send(to.m_row.m_address, fleet::encode(*update));
 }
 
 bool fleet_service::request_tokens(const base::organisation_id& who,
@@ -220,7 +239,7 @@
 {
     const auto now = m_links.m_clock.now();
     const auto lender = m_homes.is_large_fleet() ? m_homes.choose(who, now)
-                                                 : m_shares.richest(who);
+                                                 : m_demand.richest(who);
     const fleet::member* to = lender ? m_members.find(*lender) : nullptr;
     if (to == nullptr)
         return false;
@@ -249,8 +268,7 @@
                                base::instant now)
 {
     m_homes.answered(grant.m_host, grant.m_organisation, grant.m_amount, now);
-    if (grant.m_amount == 0)
-        m_shares.had_none(grant.m_host, grant.m_organisation);
+    m_demand.gave(grant.m_host, grant.m_organisation, grant.m_amount);
     m_tokens->tokens_granted(grant.m_organisation, grant.m_amount, now);
 }
 
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -9,11 +9,12 @@
 using fleet::leadership_phase;
 
 fleet_service::fleet_service(fleet_options options, fleet_links links,
-                             quota::demand_shares& shares,
-                             quota::home_hosts& homes)
-    : m_options(std::move(options)), m_links(links), m_shares(shares),
-      m_homes(homes), m_currency(m_options.m_currency),
-      m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members)
+                             fleet_quotas quotas)
+    : m_options(std::move(options)), m_links(links), m_demand(quotas.m_demand),
+      m_shares(quotas.m_shares), m_homes(quotas.m_homes),
+      m_currency(m_options.m_currency),
+      m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members),
+      m_all_rows(m_options.m_currency)
 {
 }
 
@@ -75,9 +76,8 @@
     if (known != nullptr && known->m_version >= version)
         return;
     if (known != nullptr && known->m_row.m_incarnation != row.m_incarnation)
-        m_shares.ended(row.m_host);
+        m_demand.ended(row.m_host);
     m_members.row_changed(row, version, at, now);
-    m_shares.set_fleet_size(m_members.size());
     m_reading_place = m_members.place("store", m_homes.is_large_fleet());
     m_log.info("member_changed", {{"member", row.m_host},
                                   {"incarnation", row.m_incarnation},
@@ -108,13 +108,15 @@
                 {"version", version}});
 }
 
-void fleet_service::rows_confirmed(rpc::store_instant at, base::instant sent,
+void fleet_service::rows_confirmed(rpc::row_version version,
+                                   rpc::store_instant at, base::instant sent,
                                    base::instant now)
 {
     m_rows_known = true;
     m_store_clock.answered(at, sent, now);
+    m_members.rows_complete(version);
     m_currency.confirmed(at);
-    m_all_rows_at = std::max(m_all_rows_at, at);
+    m_all_rows.confirmed(at);
     m_row_missing = false;
     follow_leadership(now);
 }
@@ -234,33 +236,54 @@
         hosts.push_back(
             {host, item.m_row.m_failure_domain, !has_lapsed(item, now)});
     m_homes.set_hosts(std::move(hosts));
-    m_homes.set_suspended(!is_current(now));
+    m_homes.set_suspended(!are_all_rows_current(now));
 }
 
-// In a small fleet a host that is silent may be serving its part of the rates
-// until its reliance has lapsed, also one that this process has never heard: a
-// host that is cut off from its peers and reaches the store marks them all.
+bool fleet_service::are_all_rows_current(base::instant now) const
+{
+    return is_current(now) && m_all_rows.is_current(m_store_clock, now);
+}
+
+// A silent host keeps its part of the rates until its reliance has lapsed, also
+// one that will be back soon: it goes on with that part at once then.
 void fleet_service::update_shares(base::instant now)
 {
-    bool unheard = false;
+    quota::share_view view;
+    view.m_hosts = 0;
+    if (m_members.is_registered())
+        view.m_registration = m_members.own_version().value();
+    view.m_current = are_all_rows_current(now);
+    view.m_counted =
+        m_registered_at && m_all_rows.confirmed_at() >= *m_registered_at;
     for (const auto& [host, item] : m_members.all())
     {
-        if (host == m_options.m_self || m_members.is_heard(item, now))
+        if (has_lapsed(item, now))
+        {
+            m_demand.ended(host);
             continue;
-        const bool ended = has_lapsed(item, now) ||
-                           (item.m_report && item.m_report->m_leaving);
-        if (ended)
-            m_shares.ended(host);
-        else
-            unheard = true;
+        }
+        ++view.m_hosts;
+        if (host != m_options.m_self && !counts_self(item, now))
+            view.m_counted = false;
     }
-    m_shares.set_unheard(unheard);
-    m_shares.set_suspended(m_rows_known && !is_current(now));
+    m_shares.update(view);
+}
+
+// True when the host divides rates by this host as well, or has relied on no
+// row since this host registered.
+bool fleet_service::counts_self(const fleet::member& host,
+                                base::instant now) const
+{
+    return m_members.knows_own_row(host) ||
+           (m_registered_at &&
+            m_all_rows.has_lapsed_since(*m_registered_at, m_store_clock, now));
 }
 
 void fleet_service::register_self(base::instant now)
 {
-    if (!m_rows_known || m_members.is_registered() || m_member_change_running)
+    const auto latest = m_store_clock.latest(now);
+    if (!m_rows_known || !latest || m_members.is_registered() ||
+        m_member_change_running)
         return;
     fleet::member_row row;
     row.m_host = m_options.m_self;
@@ -270,13 +293,19 @@
     const auto key = fleet::member_key(m_options.m_self);
     // The process before was not marked, so no other host took its place.
     const fleet::member* before = m_members.find(m_options.m_self);
-    const bool resumes = before != nullptr && !before->m_row.m_out_since;
+    const bool stays = before != nullptr && !before->m_row.m_out_since;
+    row.m_member_since = stays ? before->m_row.m_member_since : *latest;
+    const bool resumes = stays && m_all_rows.has_lapsed_since(
+                                      row.m_member_since, m_store_clock, now);
     change_members(
         {{{key, m_members.own_version()}}, {{key, fleet::encode(row)}}},
-        [this, resumes]
+        [this, resumes](rpc::store_instant at)
         {
-            if (resumes)
-                m_homes.resume();
+            m_registered_at = at;
+            if (!resumes)
+                return;
+            m_homes.resume();
+            m_shares.resume();
         });
     m_log.info("registering", {{"incarnation", m_options.m_incarnation},
                                {"resumes", resumes}});
@@ -299,8 +328,9 @@
         {{{key, silent.front()->m_version}}, {{key, fleet::encode(row)}}}, {});
 }
 
-void fleet_service::change_members(const rpc::fleet_change& change,
-                                   std::function<void()> applied)
+void fleet_service::change_members(
+    const rpc::fleet_change& change,
+    std::function<void(rpc::store_instant)> applied)
 {
     m_member_change_running = true;
     m_links.m_metrics.counter("store.calls.member").add();
@@ -310,7 +340,7 @@
                 {
                     m_member_change_running = false;
                     if (result && result->m_applied && applied)
-                        applied();
+                        applied(result->m_at);
                     if (!result)
                         m_log.warning("member_change_failed",
                                       {{"reason", result.error().m_message}});
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -27,12 +27,13 @@
 
 host::host(host_options options, host_links links)
     : m_options(std::move(options)), m_links(links),
-      m_shares(m_options.m_demand), m_homes(m_options.m_fleet.m_self),
+      m_demand(m_options.m_demand), m_homes(m_options.m_fleet.m_self),
+      m_gate(m_shares, m_homes),
       m_fleet(m_options.m_fleet,
               {links.m_clock, links.m_store, links.m_promotions,
                links.m_datagrams, links.m_metrics},
-              m_shares, m_homes),
-      m_service(m_options.m_sessions, links.m_sessions, m_shares, m_homes,
+              {m_demand, m_shares, m_homes}),
+      m_service(m_options.m_sessions, links.m_sessions, m_demand, m_gate,
                 links.m_metrics, links.m_clock),
       m_runner(m_options.m_runner, links.m_endpoints, m_fleet, m_service,
                links.m_metrics, links.m_clock),
@@ -131,10 +132,10 @@
     m_fleet.row_changed(row, at, now);
 }
 
-void host::rows_confirmed(rpc::store_instant at, base::instant sent,
-                          base::instant now)
+void host::rows_confirmed(rpc::row_version version, rpc::store_instant at,
+                          base::instant sent, base::instant now)
 {
-    m_fleet.rows_confirmed(at, sent, now);
+    m_fleet.rows_confirmed(version, at, sent, now);
 }
 
 void host::apply_endpoints(base::instant now)
@@ -150,7 +151,7 @@
     if (!configuration)
         return shares;
     const base::host_id& self = m_options.m_fleet.m_self;
-    auto demands = m_shares.totals(self);
+    auto demands = m_demand.totals(self);
     // Members that have told nothing yet count with no demand.
     for (const auto& [id, member] : m_fleet.members().all())
         if (!member.m_row.m_out_since)
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -31,12 +31,12 @@
 
 session_service::session_service(session_options options,
                                  rpc::session_link& link,
-                                 quota::demand_shares& shares,
-                                 quota::home_hosts& homes,
+                                 quota::demand_table& demand,
+                                 quota::token_gate& gate,
                                  metrics::registry& metrics,
                                  const base::clock& clock)
-    : m_options(options), m_link(link), m_shares(shares), m_metrics(metrics),
-      m_clock(clock), m_gate(shares, homes)
+    : m_options(options), m_link(link), m_demand(demand), m_gate(gate),
+      m_metrics(metrics), m_clock(clock)
 {
 }
 
@@ -193,7 +193,7 @@
         refuse(who, what, checked);
         return;
     }
-    m_shares.arrived(who.m_organisation, now);
+    m_demand.arrived(who.m_organisation, now);
     if (m_gate.try_take(*m_configuration, who.m_organisation, now))
         start(who, std::move(what), now);
     else
@@ -205,6 +205,7 @@
 {
     who.m_wrote = false;
     who.m_lost = false;
+    who.m_holds_token = true;
     if (what.m_kind == statement_kind::begin ||
         what.m_kind == statement_kind::begin_read_only)
     {
@@ -353,6 +354,11 @@
                                         {"text", result.m_text},
                                         {"tries", finished.m_tried.size()},
                                         {"took", now - finished.m_arrived}});
+        if (std::exchange(who.m_holds_token, false))
+        {
+            m_metrics.counter("tokens.given_back").add();
+            m_gate.give_back(who.m_organisation, now);
+        }
         if (commit)
             who.m_state = transaction_state::idle;
         else if (who.m_state == transaction_state::open)
--- a/lib/entry/session_tokens.cpp
+++ b/lib/entry/session_tokens.cpp
@@ -40,10 +40,10 @@
     return m_gate.lend(*m_configuration, who, amount, now);
 }
 
-std::uint32_t session_service::tokens(const base::organisation_id& who,
-                                      base::instant now) const
+std::map<base::organisation_id, std::uint32_t>
+session_service::tokens(base::instant now) const
 {
-    return m_gate.tokens(who, now);
+    return m_gate.all_tokens(now);
 }
 
 void session_service::tokens_granted(const base::organisation_id& who,
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -232,6 +232,7 @@
         request.m_after = what.m_after;
     what.m_stage = work_stage::running;
     what.m_sent = now;
+    who.m_holds_token = false;
     send(on, awaited::statement, request);
 }
 
--- a/lib/fleet/members.cpp
+++ b/lib/fleet/members.cpp
@@ -43,10 +43,39 @@
                         absl::ToInt64Milliseconds(m_options.m_latest_write))));
     item.m_row = row;
     item.m_version = version;
-    m_newest = std::max(m_newest, version);
     count();
 }
 
+// A row that this host has changed itself may be newer than one that it has
+// not seen yet.
+void member_book::rows_complete(rpc::row_version version)
+{
+    for (const auto& [host, item] : m_members)
+        if (item.m_version <= version)
+            m_complete = std::max(m_complete, item.m_version);
+}
+
+std::vector<const member*> member_book::rows_after(rpc::row_version version,
+                                                   std::size_t limit) const
+{
+    std::vector<const member*> result;
+    for (const auto& [host, item] : m_members)
+        if (item.m_version > version && item.m_version <= m_complete)
+            result.push_back(&item);
+    std::sort(result.begin(), result.end(),
+              [](const member* one, const member* other)
+              {
+                  return one->m_version < other->m_version;
+              });
+    result.resize(std::min(result.size(), limit));
+    return result;
+}
+
+bool member_book::knows_own_row(const member& item) const
+{
+    return item.m_report && item.m_report->m_members_version >= own_version();
+}
+
 // A host that has started anew may be heard before its row.
 bool member_book::report_received(host_report report, base::instant now)
 {
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -80,7 +80,6 @@
     to.m_configuration =
         base::configuration_version(from.getConfigurationVersion());
     to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
-    to.m_told_at = rpc::store_instant(from.getToldAt());
     to.m_members_version = rpc::row_version(from.getMembersVersion());
     to.m_endpoints_digest = from.getEndpointsDigest();
     to.m_endpoints_read_at = rpc::store_instant(from.getEndpointsReadAt());
@@ -102,7 +101,6 @@
     root.setStoreReachable(report.m_store_reachable);
     root.setConfigurationVersion(report.m_configuration.value());
     root.setConfirmedAt(report.m_confirmed_at.value());
-    root.setToldAt(report.m_told_at.value());
     root.setMembersVersion(report.m_members_version.value());
     root.setEndpointsDigest(report.m_endpoints_digest);
     root.setEndpointsReadAt(report.m_endpoints_read_at.value());
@@ -142,6 +140,48 @@
     return to;
 }
 
+void write(wire::MemberUpdate::Builder to, const member_update& from)
+{
+    to.setAfter(from.m_after.value());
+    to.setComplete(from.m_complete.value());
+    auto members = to.initMembers(static_cast<unsigned>(from.m_rows.size()));
+    unsigned index = 0;
+    for (const auto& row : from.m_rows)
+    {
+        auto item = members[index++];
+        item.setHost(row.m_row.m_host.str());
+        item.setVersion(row.m_version.value());
+        item.setIncarnation(row.m_row.m_incarnation.value());
+        item.setAddress(row.m_row.m_address);
+        item.setFailureDomain(row.m_row.m_failure_domain.str());
+        item.setMemberSince(row.m_row.m_member_since.value());
+        if (row.m_row.m_out_since)
+            item.setOutSince(row.m_row.m_out_since->value());
+    }
+}
+
+member_update read(wire::MemberUpdate::Reader from)
+{
+    member_update to;
+    to.m_after = rpc::row_version(from.getAfter());
+    to.m_complete = rpc::row_version(from.getComplete());
+    for (const auto item : from.getMembers())
+    {
+        member_row row;
+        row.m_host = base::host_id(text(item.getHost()));
+        row.m_incarnation = base::incarnation(item.getIncarnation());
+        row.m_address = text(item.getAddress());
+        row.m_failure_domain =
+            base::failure_domain_id(text(item.getFailureDomain()));
+        row.m_member_since = rpc::store_instant(item.getMemberSince());
+        if (item.getOutSince() != 0)
+            row.m_out_since = rpc::store_instant(item.getOutSince());
+        to.m_rows.push_back(
+            {std::move(row), rpc::row_version(item.getVersion())});
+    }
+    return to;
+}
+
 } // namespace
 
 std::string encode(const datagram& what)
@@ -154,6 +194,8 @@
         write(root.initTokenRequest(), request->m_tokens);
     else if (const auto* grant = std::get_if<token_grant>(&what))
         write(root.initTokenGrant(), grant->m_tokens);
+    else if (const auto* update = std::get_if<member_update>(&what))
+        write(root.initMembers(), *update);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -178,6 +220,8 @@
                 result = token_request{read(root.getTokenRequest())};
             else if (root.isTokenGrant())
                 result = token_grant{read(root.getTokenGrant())};
+            else if (root.isMembers())
+                result = read(root.getMembers());
             else
                 result = read(root.getReport());
         });
--- a/lib/fleet/rows.cpp
+++ b/lib/fleet/rows.cpp
@@ -76,7 +76,8 @@
 {
     json object = {{"incarnation", row.m_incarnation.value()},
                    {"address", row.m_address},
-                   {"failure_domain", row.m_failure_domain.str()}};
+                   {"failure_domain", row.m_failure_domain.str()},
+                   {"member_since_ms", row.m_member_since.value()}};
     if (row.m_out_since)
         object["out_since_ms"] = row.m_out_since->value();
     return object.dump();
@@ -107,9 +108,10 @@
 {
     if (!row.m_key.starts_with(member_prefix))
         return std::optional<member_row>();
-    const json object = object_of(
-        row,
-        {{"incarnation", true}, {"address", false}, {"failure_domain", false}});
+    const json object = object_of(row, {{"incarnation", true},
+                                        {"address", false},
+                                        {"failure_domain", false},
+                                        {"member_since_ms", true}});
     if (object.is_discarded())
         return unreadable(row);
     member_row result;
@@ -118,6 +120,8 @@
     result.m_address = object.at("address").get<std::string>();
     result.m_failure_domain =
         name_of<base::failure_domain_id>(object, "failure_domain");
+    result.m_member_since =
+        number_of<rpc::store_instant>(object, "member_since_ms");
     const auto out = object.find("out_since_ms");
     if (out != object.end() && out->is_number_unsigned())
         result.m_out_since =
--- a/lib/quota/home_hosts.cpp
+++ b/lib/quota/home_hosts.cpp
@@ -81,7 +81,7 @@
     const auto since =
         m_home_since.try_emplace(who, m_resumed ? base::instant() : now)
             .first->second;
-    if (m_suspended || now - since < m_options.m_take_over)
+    if (now - since < m_options.m_take_over)
         return 0;
     return 1 / static_cast<double>(home_count(who));
 }
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -26,9 +26,32 @@
     report @0 :Report;
     tokenRequest @1 :Tokens;
     tokenGrant @2 :Tokens;
+    members @3 :MemberUpdate;
   }
 }
 
+# A member's row as the store has it.
+struct Member {
+  host @0 :Text;
+  version @1 :UInt64;
+  incarnation @2 :UInt64;
+  address @3 :Text;
+  failureDomain @4 :Text;
+  # The store's time in milliseconds at which the row was marked as out; 0 when
+  # it is not.
+  outSince @5 :UInt64;
+  # The store's time in milliseconds since which the host is a member.
+  memberSince @6 :UInt64;
+}
+
+# Rows of members for a host that lacks them, the oldest first. They follow the
+# version `after`, and all up to `complete` are among them.
+struct MemberUpdate {
+  after @0 :UInt64;
+  complete @1 :UInt64;
+  members @2 :List(Member);
+}
+
 struct GroupReport {
   group @0 :Text;
   # Replacements of the primary that this host has confirmed: it uses the
@@ -70,8 +93,8 @@
   # The host reached the store within the last second.
   storeReachable @7 :Bool;
   configurationVersion @8 :UInt64;
-  # The store's time of the report, in milliseconds.
-  toldAt @9 :UInt64;
+  # Not used any more; 0.
+  unusedToldAt @9 :UInt64;
   # Highest version of a member's row that the host knows, with all before it.
   membersVersion @10 :UInt64;
   # Hash of the endpoints' entries as the host has read them, and the store's
--- a/unittests/entry/statement_test.cpp
+++ b/unittests/entry/statement_test.cpp
@@ -360,3 +360,40 @@
     f.m_driver.succeed(*request);
     cr_assert(f.m_driver.was_answered(1, "done signature"));
 }
+
+// Rishra trouble-3: callers of a cut off failure domain were refused for want
+// of a fresh endpoint and came again, and each try used a token, so that other
+// operations were refused as beyond the rate although far fewer had run.
+Test(statements, an_operation_that_no_endpoint_was_asked_to_run_costs_no_token)
+{
+    fleet_fixture f;
+    auto limited = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    limited->m_version = base::configuration_version(2);
+    const base::organisation_id who("souq");
+    limited->m_organisations[who] = {who, 3, 30};
+    f.m_platform.m_configuration = limited;
+    f.run(absl::Seconds(8));
+    driver caller(f.host(0));
+    const auto read = [&caller](std::uint64_t session)
+    {
+        caller.start(session, "stock");
+        caller.say(session, rpc::statement_kind::read, "READ a");
+    };
+    // The primary refuses connections, and nothing is known of its log.
+    read(1);
+    const auto opening = std::exchange(f.host(0).m_endpoints.m_opening, {});
+    for (const auto number : opening)
+        f.host(0).m_host.endpoints().connection_closed(number, true);
+    for (std::uint64_t session = 2; session <= 40; ++session)
+    {
+        read(session);
+        cr_assert(caller.was_answered(session, "err busy"));
+    }
+    // It is back before the bucket has gained anything.
+    f.run(absl::Milliseconds(450));
+    caller.accept();
+    read(100);
+    cr_assert(caller.next_statement().has_value());
+    cr_assert_geq(f.host(0).m_metrics.counter("tokens.given_back").value(), 39);
+}
