Take isolated hosts out of rotation; mark silent hosts after 8 s

A host that reaches neither the store nor another failure domain says that it is not ready; it is ready again with the first confirmation. Cuts end before 8 s as a rule, so hosts go on with their part as before. A host that is lost for good is waited for that much longer by promotions and its ninth of the rates is unused; both are small beside the quota of 1.6 times the demand.

Ruled out: shorter leases. The domain outside a cut would gain what the callers inside lose.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -47,6 +47,9 @@
     absl::Duration m_suspicion_interval = absl::Milliseconds(250);
     // Reports carry a leadership row for this long after its change.
     absl::Duration m_row_told_for = absl::Seconds(10);
+    // Rows that nobody has confirmed for this long were asked for at the store
+    // in vain.
+    absl::Duration m_isolated_after = absl::Milliseconds(2000);
     lease::currency_options m_currency;
     fleet::member_options m_members;
     handover::promotion_options m_promotion;
@@ -140,6 +143,9 @@
     bool request_tokens(const base::organisation_id& who,
                         std::uint32_t amount) override;
 
+    // True when neither the store nor another failure domain is reached: the
+    // host can serve little, and soon nothing.
+    [[nodiscard]] bool is_isolated(base::instant now) const;
     // How long ago the rows were confirmed; infinite when one is missing.
     [[nodiscard]] absl::Duration confirmed_age(base::instant now) const;
     // The place of this host when it comes to reading the store for others: in
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -100,6 +100,9 @@
     // Hosts that were heard lately and do not end, this one included, in the
     // order of their names.
     [[nodiscard]] std::vector<base::host_id> live(base::instant now) const;
+    // True when a host of another failure domain was heard lately; in a fleet
+    // of one domain, any other host.
+    [[nodiscard]] bool hears_other_domain(base::instant now) const;
     // True when the host was heard lately.
     [[nodiscard]] bool is_heard(const member& item, base::instant now) const;
     // Members that this host is to mark as out: the first live host of a
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -176,6 +176,12 @@
            found->second.m_stopped < row->m_generation;
 }
 
+bool fleet_service::is_isolated(base::instant now) const
+{
+    return confirmed_age(now) > m_options.m_isolated_after &&
+           !m_members.hears_other_domain(now);
+}
+
 absl::Duration fleet_service::confirmed_age(base::instant now) const
 {
     const auto latest = m_store_clock.latest(now);
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -77,7 +77,8 @@
 bool host::is_ready() const
 {
     return !m_draining_since && m_follower.has_configuration() &&
-           m_follower.has_endpoints();
+           m_follower.has_endpoints() &&
+           !m_fleet.is_isolated(m_links.m_clock.now());
 }
 
 void host::drain()
--- a/lib/fleet/members.cpp
+++ b/lib/fleet/members.cpp
@@ -156,6 +156,18 @@
            now - item.m_heard <= turn(item) * m_options.m_live_turns;
 }
 
+bool member_book::hears_other_domain(base::instant now) const
+{
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [this, now](const auto& item)
+                       {
+                           const auto& [host, other] = item;
+                           return host != m_self &&
+                                  (m_far == 0 || !is_near(other)) &&
+                                  is_heard(other, now);
+                       });
+}
+
 std::vector<base::host_id> member_book::live(base::instant now) const
 {
     std::vector<base::host_id> result;
@@ -191,7 +203,8 @@
         // While this host was marked itself, nobody told it anything.
         const auto silent = now - std::max(item.m_heard, m_told_since);
         if (mine && host != m_self && !item.m_row.m_out_since &&
-            silent > turn(item) * m_options.m_out_turns)
+            silent > std::max(turn(item) * m_options.m_out_turns,
+                              m_options.m_out_after))
             result.push_back(&item);
     }
     return result;
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -238,3 +238,47 @@
     cr_assert_leq(static_cast<double>(served), (rate * seconds + burst) / 3);
     cr_assert_geq(served, 1);
 }
+
+// Rishra zone_cut: callers of a cut off failure domain were sent to its hosts
+// for the whole cut, though these could serve next to nothing and other
+// domains could be reached.
+Test(fleet, an_isolated_host_asks_for_no_new_sessions_until_it_is_back)
+{
+    fleet_fixture f;
+    f.host(2).m_store.m_reachable = false;
+    f.run(absl::Seconds(6));
+    cr_assert(f.host(2).m_host.is_ready(), "its peers confirm its rows");
+    f.host(2).m_heard = false;
+    f.run(absl::Seconds(4));
+    cr_assert_not(f.host(2).m_host.is_ready());
+    cr_assert(f.host(1).m_host.is_ready());
+    f.host(2).m_heard = true;
+    f.run(absl::Seconds(1));
+    cr_assert(f.host(2).m_host.is_ready());
+}
+
+// An outage of the store alone isolates nobody.
+Test(fleet, hosts_that_hear_each_other_stay_in_rotation_without_the_store)
+{
+    fleet_fixture f;
+    for (auto& host : f.m_hosts)
+        host->m_store.m_reachable = false;
+    f.run(absl::Seconds(4));
+    for (const auto& host : f.m_hosts)
+        cr_assert(host->m_host.is_ready());
+}
+
+// Rishra trouble-3: hosts that were cut off for some seconds were marked, and
+// had to join anew before they could admit anything.
+Test(fleet, a_host_that_is_cut_off_for_some_seconds_is_not_marked)
+{
+    fleet_fixture f;
+    f.host(2).m_store.m_reachable = false;
+    f.host(2).m_heard = false;
+    f.run(absl::Seconds(7));
+    cr_assert_eq(f.m_platform.m_rows.at("member/h2").m_value.find("out_since"),
+                 std::string::npos);
+    f.run(absl::Seconds(3));
+    cr_assert_neq(f.m_platform.m_rows.at("member/h2").m_value.find("out_since"),
+                  std::string::npos);
+}
