Leave the store of a large fleet to two followers in each domain

Every host watched the rows and the configuration and read the endpoints, was woken by each change, and read once more when peers told of it. Two hosts of each failure domain follow the store now. The others get rows of members and endpoints by datagrams from a peer that has them, and read a newer configuration once, at most every second. A host whose rows stay unconfirmed follows the store itself. Reports go to one host of the other domains in a round instead of three; what they carry spreads from there.

Inputs of a promotion are gathered only when one is needed, homes are chosen anew only when a member changed, nothing lists the live hosts in each tick, and unused pools are passed over.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -34,14 +34,19 @@
     absl::Duration m_confirm_after = absl::Milliseconds(1200);
     absl::Duration m_confirm_step = absl::Milliseconds(500);
     absl::Duration m_confirm_latest = absl::Milliseconds(3000);
-    // An endpoint that leaves has several seconds left. In a large fleet some
-    // hosts of each failure domain read the entries as often, and the others
-    // when one of those tells that they changed.
+    // An endpoint that leaves has several seconds left.
     absl::Duration m_endpoints_interval = absl::Milliseconds(1500);
-    absl::Duration m_large_endpoints_interval = absl::Seconds(15);
-    std::size_t m_endpoint_readers = 2;
-    // Shortest time between two such reads.
-    absl::Duration m_endpoints_pause = absl::Milliseconds(500);
+    // In a large fleet this many hosts of each failure domain follow the store.
+    // The others learn from them by datagrams.
+    std::size_t m_followers = 2;
+    // Another host follows the store as well when its rows have been due for a
+    // confirmation for this long: its peers may be gone.
+    absl::Duration m_follow_after = absl::Milliseconds(2000);
+    // Pause after the first rows, for this host to learn whether it follows.
+    absl::Duration m_start_pause = absl::Milliseconds(120);
+    // How often a host that does not follow reads the endpoints all the same,
+    // should a datagram of every change have been lost.
+    absl::Duration m_large_endpoints_interval = absl::Seconds(60);
     std::size_t m_large_fleet = 16;
     // Rows of members change in crowds, at a start of the fleet; the watch is
     // renewed after this time, so that it returns few times. Other rows are
@@ -49,6 +54,10 @@
     // them.
     absl::Duration m_member_pause = absl::Milliseconds(300);
     absl::Duration m_large_pause = absl::Milliseconds(2000);
+    // Pause after a read because a peer has a newer configuration. Versions may
+    // come in quick succession; each is in force within seconds all the same.
+    absl::Duration m_catch_up_pause = absl::Milliseconds(200);
+    absl::Duration m_large_catch_up_pause = absl::Milliseconds(1000);
     absl::Duration m_call_timeout = absl::Milliseconds(1000);
     // Failed calls of a large fleet are repeated this many times later: many
     // hosts are turned away at once, and peers confirm the rows meanwhile.
@@ -69,9 +78,10 @@
     virtual void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints,
                       base::instant now) = 0;
-    // The entries were read at `at` with this hash, changed or not.
-    virtual void endpoints_read(std::uint64_t digest,
-                                rpc::store_instant at) = 0;
+    // These are the endpoints as of `at`, changed or not.
+    virtual void
+    endpoints_read(const std::vector<catalogue::endpoint_entry>& endpoints,
+                   rpc::store_instant at) = 0;
     // `at` is a time of the store after the change.
     virtual void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                              base::instant now) = 0;
@@ -103,8 +113,9 @@
     {
         m_reading_place = place;
     }
-    // Reads the endpoints soon: a peer has read other ones later.
-    void peer_has_endpoints(base::instant now);
+    // A peer has read these endpoints later than this host.
+    void endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
+                        rpc::store_instant at, base::instant now);
     // Reads the fleet's rows when they were confirmed too long ago.
     void rows_age(absl::Duration age, base::instant now);
     // Reads the configuration when a peer has a newer one.
@@ -148,8 +159,8 @@
     {
         return m_fleet_size > m_options.m_large_fleet;
     }
+    [[nodiscard]] bool is_following(base::instant now) const;
     [[nodiscard]] absl::Duration watch_wait() const;
-    [[nodiscard]] absl::Duration endpoints_interval() const;
     [[nodiscard]] absl::Duration confirm_after() const;
     void started(lane& what);
     // True when the call succeeded.
@@ -157,8 +168,10 @@
                base::instant now);
     void take_configuration(const rpc::changes<rpc::configuration_ptr>& change,
                             base::instant now);
-    void take_endpoints(std::vector<catalogue::endpoint_entry> entries,
-                        base::instant now);
+    [[nodiscard]] bool are_endpoints_due(base::instant now) const;
+    void keep_lapsed(std::vector<catalogue::endpoint_entry>& entries) const;
+    void take_endpoints(const std::vector<catalogue::endpoint_entry>& entries,
+                        rpc::store_instant at, base::instant now);
     void take_fleet(const rpc::changes<rpc::fleet_row>& change,
                     base::instant sent, base::instant now);
 
@@ -176,7 +189,14 @@
     lane m_catch_up{"configuration_catch_up"};
     std::size_t m_fleet_size = 1;
     std::size_t m_reading_place = 0;
-    base::instant m_endpoints_asked;
+    // When the rows' confirmation was young enough last, and when all rows were
+    // read first.
+    base::instant m_rows_fresh_at;
+    base::instant m_rows_known_at;
+    // When the endpoints were read or told last, and this host's part of the
+    // interval: hosts that started together read at different times.
+    base::instant m_endpoints_at;
+    double m_spread;
     base::configuration_version m_configuration_version;
     rpc::row_version m_configuration_row;
     std::optional<rpc::row_version> m_fleet_version;
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -3,6 +3,7 @@
 #define MAGNOLIASTACK_ENTRY_FLEET_SERVICE_HPP
 
 #include "magnoliastack/entry/statement_runner.hpp"
+#include "magnoliastack/fleet/endpoint_relay.hpp"
 #include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
 #include "magnoliastack/handover/promotion.hpp"
@@ -56,6 +57,18 @@
     handover::assessment_options m_assessment;
 };
 
+// Receives what peers have passed on.
+class peer_events
+{
+public:
+    virtual ~peer_events() = default;
+
+    // A peer has read these endpoints later than this host.
+    virtual void
+    endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
+                   rpc::store_instant at, base::instant now) = 0;
+};
+
 // The links that the service uses.
 struct fleet_links
 {
@@ -64,6 +77,7 @@
     rpc::promotion_link& m_promotions;
     rpc::datagram_link& m_datagrams;
     metrics::registry& m_metrics;
+    peer_events& m_events;
 };
 
 // How rates are divided; the service tells them of changes of the fleet.
@@ -154,21 +168,15 @@
     {
         return m_reading_place;
     }
-    // The endpoints as this host has read them, and the store's time then.
-    void set_endpoints_digest(std::uint64_t digest, rpc::store_instant at)
-    {
-        m_endpoints_digest = digest;
-        m_endpoints_read_at = at;
-        m_has_peer_newer_endpoints = false;
-    }
-    // True when a peer has read other endpoints later than this host.
-    [[nodiscard]] bool has_peer_newer_endpoints() const
+    // The endpoints as this host or a peer has read them at that time of the
+    // store.
+    void endpoints_read(const std::vector<catalogue::endpoint_entry>& endpoints,
+                        rpc::store_instant at);
+    // Newest version of the configuration that a peer has told.
+    [[nodiscard]] base::configuration_version newest_configuration() const
     {
-        return m_has_peer_newer_endpoints;
+        return m_newest_configuration;
     }
-    // Newest version of the configuration that a live peer has told.
-    [[nodiscard]] base::configuration_version
-    newest_configuration(base::instant now) const;
     // The version that this host has, to tell the others.
     void set_configuration(base::configuration_version version)
     {
@@ -235,6 +243,7 @@
     [[nodiscard]] bool can_all_release(base::instant now) const;
     [[nodiscard]] handover::promotion_inputs inputs(const base::group_id& id,
                                                     group_leadership& group,
+                                                    handover::need why,
                                                     base::instant now);
     [[nodiscard]] bool is_released(const base::group_id& id,
                                    const group_leadership& group,
@@ -261,6 +270,9 @@
     void take_rows(const fleet::host_report& report, base::instant now);
     void take_members(const fleet::member_update& update, base::instant now);
     void pass_members_on(const fleet::member& to, base::instant now);
+    void take_endpoints(const fleet::endpoint_update& update,
+                        base::instant now);
+    void send_endpoints(const fleet::endpoint_request& request);
     void take_report(fleet::host_report report, base::instant now);
     void take_request(const fleet::token_transfer& request, base::instant now);
     void take_grant(const fleet::token_transfer& grant, base::instant now);
@@ -285,6 +297,7 @@
     rpc::row_version m_duty_version;
     std::vector<catalogue::endpoint_entry> m_entries;
     base::configuration_version m_configuration;
+    base::configuration_version m_newest_configuration;
     // Until when the rows of members may be relied on as well. Only that may be
     // told others: a host that does not know that another one is marked as out
     // must not extend its reliance.
@@ -294,11 +307,11 @@
     std::optional<rpc::store_instant> m_registered_at;
     // A peer has told of a leadership row that this host lacks.
     bool m_row_missing = false;
-    std::uint64_t m_endpoints_digest = 0;
-    rpc::store_instant m_endpoints_read_at;
-    bool m_has_peer_newer_endpoints = false;
+    fleet::endpoint_relay m_endpoints;
     base::instant m_next_suspicion;
     std::size_t m_reading_place = 0;
+    // Rows of members have changed, or a marked one has not lapsed yet.
+    bool m_members_changed = false;
     bool m_rows_known = false;
     bool m_store_reachable = false;
     bool m_leaving = false;
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -58,7 +58,7 @@
 
 // Connects the decisions of sessions, statements, store and leadership. All
 // functions run on the event loop.
-class host final : public follower_events
+class host final : public follower_events, public peer_events
 {
 public:
     host(host_options options, host_links links);
@@ -93,6 +93,20 @@
         return m_fleet.primary(group, m_links.m_clock.now());
     }
 
+    // The configuration in force here; 0 without one.
+    [[nodiscard]] base::configuration_version configuration_version() const
+    {
+        const auto& configuration = m_service.configuration();
+        return configuration ? configuration->m_version
+                             : base::configuration_version();
+    }
+
+    // Endpoints that are listed.
+    [[nodiscard]] std::size_t endpoint_count() const
+    {
+        return m_entries.size();
+    }
+
     // A datagram of another host.
     void datagram_received(std::string_view bytes)
     {
@@ -104,7 +118,10 @@
     void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints,
                       base::instant now) override;
-    void endpoints_read(std::uint64_t digest, rpc::store_instant at) override;
+    void endpoints_read(const std::vector<catalogue::endpoint_entry>& endpoints,
+                        rpc::store_instant at) override;
+    void endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
+                        rpc::store_instant at, base::instant now) override;
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now) override;
     void rows_confirmed(rpc::row_version version, rpc::store_instant at,
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -28,6 +28,9 @@
     // The same when a host was asked: one that has ended answers nothing, and
     // the next one is asked at the next tick.
     absl::Duration m_answer_wait = absl::Milliseconds(120);
+    // Shares of the rates are applied this often; a share that was not applied
+    // for twice as long has lapsed.
+    absl::Duration m_refresh_interval = absl::Milliseconds(90);
     // Operations of an organisation that wait for tokens of other hosts.
     std::size_t m_largest_queue = 8;
     // Statements that one session may have waiting.
@@ -147,6 +150,7 @@
     absl::flat_hash_map<rpc::session_number, std::unique_ptr<session>>
         m_sessions;
     token_source* m_token_source = nullptr;
+    base::instant m_next_refresh;
     std::map<base::organisation_id, std::deque<token_waiter>> m_token_waiters;
 };
 
--- /dev/null
+++ b/include/magnoliastack/fleet/endpoint_relay.hpp
@@ -0,0 +1,69 @@
+// Passes the endpoints on from hosts that have read them.
+#ifndef MAGNOLIASTACK_FLEET_ENDPOINT_RELAY_HPP
+#define MAGNOLIASTACK_FLEET_ENDPOINT_RELAY_HPP
+
+#include "magnoliastack/base/time.hpp"
+#include "magnoliastack/fleet/report.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace magnoliastack::fleet
+{
+
+// Limits of the relay.
+struct endpoint_relay_options
+{
+    // An update is one datagram of 64 KB at most; larger lists are read from
+    // the store by each host.
+    std::size_t m_largest_update = 400;
+    // Time between two requests of this host.
+    absl::Duration m_interval = absl::Milliseconds(300);
+};
+
+// Reports tell a hash of the endpoints and when they were read. A host that
+// hears of a later reading with another hash asks that peer for them.
+class endpoint_relay
+{
+public:
+    explicit endpoint_relay(endpoint_relay_options options = {});
+
+    // This host has the endpoints as of that time.
+    void read(const std::vector<catalogue::endpoint_entry>& endpoints,
+              rpc::store_instant at);
+
+    [[nodiscard]] std::uint64_t digest() const
+    {
+        return m_digest;
+    }
+    [[nodiscard]] rpc::store_instant read_at() const
+    {
+        return m_read_at;
+    }
+
+    // True when the reporting peer is to be asked now.
+    bool should_ask(const host_report& report, base::instant now);
+
+    // What to send to a peer that asks, or none when it does not fit.
+    [[nodiscard]] std::optional<endpoint_update> update() const;
+
+    // True when the update is later than what this host has.
+    [[nodiscard]] bool is_newer(const endpoint_update& update) const
+    {
+        return update.m_read_at > m_read_at;
+    }
+
+private:
+    endpoint_relay_options m_options;
+    std::vector<catalogue::endpoint_entry> m_endpoints;
+    std::uint64_t m_digest = 0;
+    rpc::store_instant m_read_at;
+    std::optional<base::instant> m_asked;
+};
+
+} // namespace magnoliastack::fleet
+
+#endif
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -28,7 +28,7 @@
     // of the others, which keeps the cost of a host the same at any size. Bytes
     // between failure domains have a price.
     std::size_t m_near_fan_out = 6;
-    std::size_t m_far_fan_out = 3;
+    std::size_t m_far_fan_out = 1;
     // A change of the store that was not answered may be carried out this much
     // later.
     absl::Duration m_latest_write = absl::Seconds(10);
@@ -40,6 +40,8 @@
     // before; one that was marked has to join anew.
     int m_out_turns = 6;
     absl::Duration m_out_after = absl::Seconds(8);
+    // A failure domain is reached while any of its hosts was heard within this.
+    absl::Duration m_contact = absl::Seconds(2);
     // For this long after its start a host counts hosts that it has not heard
     // yet as live, so that not every host of a fleet that starts takes itself
     // for the only one.
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -4,6 +4,7 @@
 
 #include "magnoliastack/base/error.hpp"
 #include "magnoliastack/base/ids.hpp"
+#include "magnoliastack/catalogue/endpoint_entry.hpp"
 #include "magnoliastack/fleet/rows.hpp"
 #include "magnoliastack/quota/demand_table.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
@@ -96,8 +97,21 @@
     token_transfer m_tokens;
 };
 
-using datagram =
-    std::variant<host_report, token_request, token_grant, member_update>;
+// The sender asks for the endpoints that the receiver has read.
+struct endpoint_request
+{
+    base::host_id m_host;
+};
+
+// The endpoints as the store had them at that time.
+struct endpoint_update
+{
+    rpc::store_instant m_read_at;
+    std::vector<catalogue::endpoint_entry> m_endpoints;
+};
+
+using datagram = std::variant<host_report, token_request, token_grant,
+                              member_update, endpoint_request, endpoint_update>;
 
 std::string encode(const datagram& what);
 // `corrupt` when the bytes are no datagram.
--- a/include/magnoliastack/quota/home_hosts.hpp
+++ b/include/magnoliastack/quota/home_hosts.hpp
@@ -78,7 +78,7 @@
 
     [[nodiscard]] bool is_large_fleet() const
     {
-        return active_hosts() > m_options.m_largest_divided_fleet;
+        return m_active_hosts > m_options.m_largest_divided_fleet;
     }
 
     // At most so many homes, and one at least: each home can hold one token of
@@ -97,8 +97,6 @@
                   std::uint32_t amount, base::instant now);
 
 private:
-    [[nodiscard]] std::size_t active_hosts() const;
-
     struct asked_home
     {
         std::optional<base::instant> m_asked;
@@ -119,6 +117,7 @@
     home_options m_options;
     base::failure_domain_id m_own_domain;
     std::vector<home_candidate> m_hosts;
+    std::size_t m_active_hosts = 0;
     std::size_t m_domains = 1;
     std::size_t m_homes_per_domain = 1;
     std::map<base::organisation_id, std::vector<home_candidate>> m_homes;
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -13,20 +13,32 @@
                                metrics::registry& metrics,
                                const base::clock& clock)
     : m_options(options), m_store(store), m_events(events), m_metrics(metrics),
-      m_clock(clock), m_healthy_since(clock.now())
+      m_clock(clock), m_rows_fresh_at(clock.now()),
+      m_spread(absl::Uniform(m_random, 0.5, 1.0)), m_healthy_since(clock.now())
 {
 }
 
 void fleet_follower::tick(base::instant now)
 {
-    if (!m_configuration.m_running && now >= m_configuration.m_next)
+    const bool follows = is_following(now);
+    if (!m_configuration.m_running && now >= m_configuration.m_next &&
+        (follows || m_configuration_row.value() == 0))
         ask_configuration(now);
-    if (!m_endpoints.m_running && now >= m_endpoints.m_next)
+    if (are_endpoints_due(now))
         ask_endpoints(now);
-    if (!m_fleet.m_running && now >= m_fleet.m_next)
+    if (!m_fleet.m_running && now >= m_fleet.m_next &&
+        (follows || !m_fleet_version))
         ask_fleet(now);
 }
 
+bool fleet_follower::is_following(base::instant now) const
+{
+    if (now - m_rows_known_at < m_options.m_start_pause)
+        return false;
+    return !is_large_fleet() || m_reading_place < m_options.m_followers ||
+           now - m_rows_fresh_at >= m_options.m_follow_after;
+}
+
 void fleet_follower::started(lane& what)
 {
     what.m_running = true;
@@ -94,26 +106,8 @@
     }
 }
 
-absl::Duration fleet_follower::endpoints_interval() const
-{
-    const bool reads_for_others =
-        m_reading_place < m_options.m_endpoint_readers;
-    return !is_large_fleet() || reads_for_others
-               ? m_options.m_endpoints_interval
-               : m_options.m_large_endpoints_interval;
-}
-
-void fleet_follower::peer_has_endpoints(base::instant now)
+void fleet_follower::ask_endpoints(base::instant /*now*/)
 {
-    if (m_has_endpoints)
-        m_endpoints.m_next = std::min(
-            m_endpoints.m_next,
-            std::max(now, m_endpoints_asked + m_options.m_endpoints_pause));
-}
-
-void fleet_follower::ask_endpoints(base::instant now)
-{
-    m_endpoints_asked = now;
     started(m_endpoints);
     m_store.read_endpoints(
         m_options.m_call_timeout,
@@ -123,29 +117,54 @@
             if (!ended(m_endpoints, result.has_value(),
                        result ? "" : result.error().m_message, received))
                 return;
-            m_endpoints.m_next = received + endpoints_interval();
-            m_events.endpoints_read(catalogue::digest(result->m_rows),
-                                    result->m_at);
-            take_endpoints(std::move(result->m_rows), received);
+            m_endpoints_at = received;
+            if (m_has_endpoints &&
+                received - m_healthy_since < m_options.m_lapse_grace)
+                keep_lapsed(result->m_rows);
+            take_endpoints(result->m_rows, result->m_at, received);
         });
 }
 
+void fleet_follower::endpoints_told(
+    std::vector<catalogue::endpoint_entry> endpoints, rpc::store_instant at,
+    base::instant now)
+{
+    take_endpoints(endpoints, at, now);
+    m_endpoints_at = now;
+}
+
+bool fleet_follower::are_endpoints_due(base::instant now) const
+{
+    if (m_endpoints.m_running || now < m_endpoints.m_next)
+        return false;
+    if (!m_has_endpoints)
+        return true;
+    const absl::Duration interval =
+        !m_fleet_version || is_following(now)
+            ? m_options.m_endpoints_interval
+            : m_options.m_large_endpoints_interval * m_spread;
+    return now - m_endpoints_at >= interval;
+}
+
 // Entries may be missing because the store was away when their endpoints
 // should have renewed them; those are kept for a while.
+void fleet_follower::keep_lapsed(
+    std::vector<catalogue::endpoint_entry>& entries) const
+{
+    for (const auto& [id, entry] : m_known)
+        if (std::none_of(entries.begin(), entries.end(),
+                         [&id = id](const auto& item)
+                         {
+                             return item.m_id == id;
+                         }))
+            entries.push_back(entry);
+}
+
 void fleet_follower::take_endpoints(
-    std::vector<catalogue::endpoint_entry> entries, base::instant now)
+    const std::vector<catalogue::endpoint_entry>& entries,
+    rpc::store_instant at, base::instant now)
 {
-    const bool complete = now - m_healthy_since >= m_options.m_lapse_grace;
-    if (!complete && m_has_endpoints)
-    {
-        for (const auto& [id, entry] : m_known)
-            if (std::none_of(entries.begin(), entries.end(),
-                             [&id = id](const auto& item)
-                             {
-                                 return item.m_id == id;
-                             }))
-                entries.push_back(entry);
-    }
+    m_events.endpoints_read(entries, at);
     std::map<base::endpoint_id, catalogue::endpoint_entry> known;
     for (const auto& entry : entries)
         known[entry.m_id] = entry;
@@ -195,6 +214,8 @@
 
 void fleet_follower::rows_age(absl::Duration age, base::instant now)
 {
+    if (age < confirm_after())
+        m_rows_fresh_at = now;
     if (age < confirm_after() || !m_fleet_version || m_refresh.m_running ||
         now < m_refresh.m_next)
         return;
@@ -227,14 +248,17 @@
             if (ended(m_catch_up, result.has_value(),
                       result ? "" : result.error().m_message, received))
                 take_configuration(*result, received);
-            // The watch usually has it a moment later.
-            m_catch_up.m_next = received + absl::Milliseconds(200);
+            m_catch_up.m_next =
+                received + (is_large_fleet() ? m_options.m_large_catch_up_pause
+                                             : m_options.m_catch_up_pause);
         });
 }
 
 void fleet_follower::take_fleet(const rpc::changes<rpc::fleet_row>& change,
                                 base::instant sent, base::instant now)
 {
+    if (!m_fleet_version)
+        m_rows_known_at = now;
     m_fleet_version = m_fleet_version
                           ? std::max(*m_fleet_version, change.m_version)
                           : change.m_version;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -15,7 +15,13 @@
 {
     if (!is_current(now))
         return;
-    const auto given = inputs(id, group, now);
+    const need why = assess(id, group, now);
+    if (why == need::none && group.m_promotion->is_idle())
+    {
+        group.m_needed_since.reset();
+        return;
+    }
+    const auto given = inputs(id, group, why, now);
     const std::string before = group.m_promotion->state();
     const auto actions = group.m_promotion->tick(given, now);
     if (group.m_promotion->state() != before)
@@ -98,10 +104,10 @@
 
 handover::promotion_inputs fleet_service::inputs(const base::group_id& id,
                                                  group_leadership& group,
-                                                 base::instant now)
+                                                 need why, base::instant now)
 {
     handover::promotion_inputs given;
-    given.m_need = assess(id, group, now);
+    given.m_need = why;
     if (given.m_need == need::none)
         group.m_needed_since.reset();
     else if (!group.m_needed_since)
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -19,8 +19,8 @@
     report.m_configuration = m_configuration;
     report.m_confirmed_at = m_all_rows.confirmed_at();
     report.m_members_version = m_members.complete_version();
-    report.m_endpoints_digest = m_endpoints_digest;
-    report.m_endpoints_read_at = m_endpoints_read_at;
+    report.m_endpoints_digest = m_endpoints.digest();
+    report.m_endpoints_read_at = m_endpoints.read_at();
     // A large fleet divides neither rates nor connections by demand.
     if (!m_homes.is_large_fleet())
         report.m_demand = m_demand.report(m_tokens->tokens(now), now);
@@ -158,6 +158,10 @@
         take_grant(grant->m_tokens, now);
     else if (const auto* update = std::get_if<fleet::member_update>(&*what))
         take_members(*update, now);
+    else if (const auto* ask = std::get_if<fleet::endpoint_request>(&*what))
+        send_endpoints(*ask);
+    else if (const auto* list = std::get_if<fleet::endpoint_update>(&*what))
+        take_endpoints(*list, now);
 }
 
 void fleet_service::take_report(fleet::host_report report, base::instant now)
@@ -170,11 +174,14 @@
         m_demand.ended(host);
     else
         m_demand.reported(host, taken.m_demand);
+    m_newest_configuration =
+        std::max(m_newest_configuration, taken.m_configuration);
     take_rows(taken, now);
     pass_members_on(*m_members.find(host), now);
-    if (taken.m_endpoints_read_at > m_endpoints_read_at &&
-        taken.m_endpoints_digest != m_endpoints_digest)
-        m_has_peer_newer_endpoints = true;
+    if (m_endpoints.should_ask(taken, now))
+        m_links.m_datagrams.send(
+            m_members.find(host)->m_row.m_address,
+            fleet::encode(fleet::endpoint_request{m_options.m_self}));
     follow_leadership(now);
     for (const auto& group : taken.m_groups)
         take_covered(group, now);
@@ -222,10 +229,39 @@
         m_members.rows_complete(update.m_complete);
 }
 
-// Hosts that follow the store learn the rows there.
+void fleet_service::endpoints_read(
+    const std::vector<catalogue::endpoint_entry>& endpoints,
+    rpc::store_instant at)
+{
+    m_endpoints.read(endpoints, at);
+}
+
+void fleet_service::take_endpoints(const fleet::endpoint_update& update,
+                                   base::instant now)
+{
+    if (!m_endpoints.is_newer(update))
+        return;
+    m_links.m_metrics.counter("endpoints.told_by_peer").add();
+    m_links.m_events.endpoints_told(update.m_endpoints, update.m_read_at, now);
+}
+
+void fleet_service::send_endpoints(const fleet::endpoint_request& request)
+{
+    const fleet::member* to = m_members.find(request.m_host);
+    const auto update = m_endpoints.update();
+    if (to != nullptr && update)
+        m_links.m_datagrams.send(to->m_row.m_address, fleet::encode(*update));
+}
+
+// In a small fleet each host that reaches the store learns the rows there. In a
+// large one hosts of the same failure domain tell each other.
 void fleet_service::pass_members_on(const fleet::member& to, base::instant now)
 {
-    if (to.m_row.m_out_since || to.m_report->m_store_reachable)
+    const bool follows =
+        to.m_report->m_store_reachable &&
+        !(m_homes.is_large_fleet() &&
+          to.m_row.m_failure_domain == m_options.m_failure_domain);
+    if (to.m_row.m_out_since || follows)
         return;
     const auto update = m_relay.next(m_members, to, now);
     if (!update)
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -78,7 +78,7 @@
     if (known != nullptr && known->m_row.m_incarnation != row.m_incarnation)
         m_demand.ended(row.m_host);
     m_members.row_changed(row, version, at, now);
-    m_reading_place = m_members.place("store", m_homes.is_large_fleet());
+    m_members_changed = true;
     m_log.info("member_changed", {{"member", row.m_host},
                                   {"incarnation", row.m_incarnation},
                                   {"out", row.m_out_since.has_value()},
@@ -191,19 +191,6 @@
            absl::Milliseconds(m_currency.confirmed_at().value());
 }
 
-base::configuration_version
-fleet_service::newest_configuration(base::instant now) const
-{
-    base::configuration_version newest;
-    for (const auto& host : m_members.live(now))
-    {
-        const fleet::member* item = m_members.find(host);
-        if (item != nullptr && item->m_report)
-            newest = std::max(newest, item->m_report->m_configuration);
-    }
-    return newest;
-}
-
 bool fleet_service::is_current(base::instant now) const
 {
     return m_rows_known && !m_leaving && m_members.is_registered() &&
@@ -237,12 +224,19 @@
 // cannot confirm its rows gives out none.
 void fleet_service::update_homes(base::instant now)
 {
+    m_homes.set_suspended(!are_all_rows_current(now));
+    if (!std::exchange(m_members_changed, false))
+        return;
     std::vector<quota::home_candidate> hosts;
     for (const auto& [host, item] : m_members.all())
-        hosts.push_back(
-            {host, item.m_row.m_failure_domain, !has_lapsed(item, now)});
+    {
+        const bool lapsed = has_lapsed(item, now);
+        // A marked host changes once more, when it lapses.
+        m_members_changed |= item.m_marked_by && !lapsed;
+        hosts.push_back({host, item.m_row.m_failure_domain, !lapsed});
+    }
     m_homes.set_hosts(std::move(hosts));
-    m_homes.set_suspended(!are_all_rows_current(now));
+    m_reading_place = m_members.place("store", m_homes.is_large_fleet());
 }
 
 bool fleet_service::are_all_rows_current(base::instant now) const
@@ -254,6 +248,9 @@
 // one that will be back soon: it goes on with that part at once then.
 void fleet_service::update_shares(base::instant now)
 {
+    // Homes give out the tokens of a large fleet.
+    if (m_homes.is_large_fleet())
+        return;
     quota::share_view view;
     view.m_hosts = 0;
     if (m_members.is_registered())
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -31,7 +31,7 @@
       m_gate(m_shares, m_homes),
       m_fleet(m_options.m_fleet,
               {links.m_clock, links.m_store, links.m_promotions,
-               links.m_datagrams, links.m_metrics},
+               links.m_datagrams, links.m_metrics, *this},
               {m_demand, m_shares, m_homes}),
       m_service(m_options.m_sessions, links.m_sessions, m_demand, m_gate,
                 links.m_metrics, links.m_clock),
@@ -51,10 +51,8 @@
     const auto now = m_links.m_clock.now();
     m_follower.set_fleet_size(m_fleet.members().size());
     m_follower.set_reading_place(m_fleet.reading_place());
-    if (m_fleet.has_peer_newer_endpoints())
-        m_follower.peer_has_endpoints(now);
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
-    m_follower.peer_has_configuration(m_fleet.newest_configuration(now), now);
+    m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
     m_follower.tick(now);
     m_runner.tick(now);
     m_fleet.tick(m_follower.is_reaching_store(), now);
@@ -122,9 +120,17 @@
     m_fleet.endpoints_changed(endpoints);
 }
 
-void host::endpoints_read(std::uint64_t digest, rpc::store_instant at)
+void host::endpoints_read(
+    const std::vector<catalogue::endpoint_entry>& endpoints,
+    rpc::store_instant at)
 {
-    m_fleet.set_endpoints_digest(digest, at);
+    m_fleet.endpoints_read(endpoints, at);
+}
+
+void host::endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
+                          rpc::store_instant at, base::instant now)
+{
+    m_follower.endpoints_told(std::move(endpoints), at, now);
 }
 
 void host::row_changed(const rpc::fleet_row& row, rpc::store_instant at,
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -219,8 +219,11 @@
 void statement_runner::check_silence(endpoint_state& endpoint,
                                      base::instant now)
 {
-    if (!owes_answer(endpoint))
+    const bool idle = endpoint.m_pool.size() == 0;
+    if (idle || !owes_answer(endpoint))
         endpoint.m_waiting_since.reset();
+    if (idle && endpoint.m_health == endpoint_health::serving)
+        return;
     if (endpoint.m_health != endpoint_health::serving)
     {
         if (now >= endpoint.m_next_try && endpoint.m_listed)
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -389,7 +389,11 @@
 {
     if (!m_configuration)
         return;
-    m_gate.refresh(*m_configuration, now);
+    if (now >= m_next_refresh)
+    {
+        m_next_refresh = now + m_options.m_refresh_interval;
+        m_gate.refresh(*m_configuration, now);
+    }
     for (auto& [who, waiting] : m_token_waiters)
     {
         admit_waiting(who, 0, now);
--- a/lib/fleet/members.cpp
+++ b/lib/fleet/members.cpp
@@ -162,9 +162,9 @@
                        [this, now](const auto& item)
                        {
                            const auto& [host, other] = item;
-                           return host != m_self &&
+                           return host != m_self && other.m_report &&
                                   (m_far == 0 || !is_near(other)) &&
-                                  is_heard(other, now);
+                                  now - other.m_heard < m_options.m_contact;
                        });
 }
 
@@ -187,15 +187,18 @@
     const bool large = others() > m_options.m_fan_out;
     bool first = true;
     bool first_near = true;
-    for (const auto& host : live(now))
+    for (const auto& [host, item] : m_members)
     {
-        const member* item = find(host);
-        if (host >= m_self || item == nullptr)
+        if (host >= m_self)
             break;
+        if (!is_heard(item, now))
+            continue;
         first = false;
-        if (is_near(*item))
+        if (is_near(item))
             first_near = false;
     }
+    if (!first && !first_near)
+        return {};
     std::vector<const member*> result;
     for (const auto& [host, item] : m_members)
     {
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -182,6 +182,46 @@
     return to;
 }
 
+void write(wire::EndpointUpdate::Builder to, const endpoint_update& from)
+{
+    to.setReadAt(from.m_read_at.value());
+    auto endpoints =
+        to.initEndpoints(static_cast<unsigned>(from.m_endpoints.size()));
+    unsigned index = 0;
+    for (const auto& endpoint : from.m_endpoints)
+    {
+        auto item = endpoints[index++];
+        item.setId(endpoint.m_id.str());
+        item.setGroup(endpoint.m_group.str());
+        item.setAddress(endpoint.m_address);
+        item.setFailureDomain(endpoint.m_failure_domain.str());
+        item.setSlots(endpoint.m_slots);
+        item.setLeaving(endpoint.m_leaving);
+        item.setPrimary(endpoint.m_primary);
+        item.setStartedUnixMs(endpoint.m_started_unix_ms);
+    }
+}
+
+endpoint_update read(wire::EndpointUpdate::Reader from)
+{
+    endpoint_update to;
+    to.m_read_at = rpc::store_instant(from.getReadAt());
+    for (const auto item : from.getEndpoints())
+    {
+        catalogue::endpoint_entry& entry = to.m_endpoints.emplace_back();
+        entry.m_id = base::endpoint_id(text(item.getId()));
+        entry.m_group = base::group_id(text(item.getGroup()));
+        entry.m_address = text(item.getAddress());
+        entry.m_failure_domain =
+            base::failure_domain_id(text(item.getFailureDomain()));
+        entry.m_slots = item.getSlots();
+        entry.m_leaving = item.getLeaving();
+        entry.m_primary = item.getPrimary();
+        entry.m_started_unix_ms = item.getStartedUnixMs();
+    }
+    return to;
+}
+
 } // namespace
 
 std::string encode(const datagram& what)
@@ -196,6 +236,10 @@
         write(root.initTokenGrant(), grant->m_tokens);
     else if (const auto* update = std::get_if<member_update>(&what))
         write(root.initMembers(), *update);
+    else if (const auto* ask = std::get_if<endpoint_request>(&what))
+        root.initEndpointRequest().setHost(ask->m_host.str());
+    else if (const auto* endpoints = std::get_if<endpoint_update>(&what))
+        write(root.initEndpoints(), *endpoints);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -222,6 +266,11 @@
                 result = token_grant{read(root.getTokenGrant())};
             else if (root.isMembers())
                 result = read(root.getMembers());
+            else if (root.isEndpointRequest())
+                result = endpoint_request{
+                    base::host_id(text(root.getEndpointRequest().getHost()))};
+            else if (root.isEndpoints())
+                result = read(root.getEndpoints());
             else
                 result = read(root.getReport());
         });
--- a/lib/quota/home_hosts.cpp
+++ b/lib/quota/home_hosts.cpp
@@ -21,10 +21,12 @@
     const bool first = m_hosts.empty();
     m_hosts = std::move(hosts);
     m_resumed = m_resumed && first;
+    m_active_hosts = 0;
     std::set<base::failure_domain_id> domains;
     for (const auto& host : m_hosts)
     {
         domains.insert(host.m_failure_domain);
+        m_active_hosts += host.m_active ? 1 : 0;
         if (host.m_host == m_self)
             m_own_domain = host.m_failure_domain;
     }
@@ -44,16 +46,6 @@
         since = base::instant();
 }
 
-std::size_t home_hosts::active_hosts() const
-{
-    return static_cast<std::size_t>(std::count_if(m_hosts.begin(),
-                                                  m_hosts.end(),
-                                                  [](const auto& host)
-                                                  {
-                                                      return host.m_active;
-                                                  }));
-}
-
 void home_hosts::limit_homes(const base::organisation_id& who,
                              std::size_t count)
 {
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -27,9 +27,35 @@
     tokenRequest @1 :Tokens;
     tokenGrant @2 :Tokens;
     members @3 :MemberUpdate;
+    endpointRequest @4 :EndpointRequest;
+    endpoints @5 :EndpointUpdate;
   }
 }
 
+# Asks the receiver for the endpoints that it has read.
+struct EndpointRequest {
+  host @0 :Text;
+}
+
+# All endpoints as the store had them at a time, in its milliseconds.
+struct EndpointUpdate {
+  readAt @0 :UInt64;
+  endpoints @1 :List(Endpoint);
+}
+
+struct Endpoint {
+  id @0 :Text;
+  group @1 :Text;
+  # `ip:port`.
+  address @2 :Text;
+  failureDomain @3 :Text;
+  slots @4 :UInt32;
+  leaving @5 :Bool;
+  primary @6 :Bool;
+  # Start of its process, in milliseconds since the Unix epoch.
+  startedUnixMs @7 :Int64;
+}
+
 # A member's row as the store has it.
 struct Member {
   host @0 :Text;
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -106,8 +106,16 @@
 // The platform's store and promotions, shared by all hosts of a test.
 struct fake_platform
 {
+    // Puts a configuration in force.
+    void configure(rpc::configuration_ptr configuration)
+    {
+        m_configuration = std::move(configuration);
+        m_configuration_version = rpc::row_version(++m_version);
+    }
+
     std::uint64_t m_version = 10;
     rpc::configuration_ptr m_configuration;
+    rpc::row_version m_configuration_version;
     std::vector<catalogue::endpoint_entry> m_entries;
     std::map<std::string, rpc::fleet_row> m_rows;
     std::vector<std::pair<base::endpoint_id, std::uint64_t>> m_promoted;
@@ -130,22 +138,34 @@
         absl::Duration /*timeout*/,
         callback<rpc::changes<rpc::configuration_ptr>> done) override
     {
+        ++m_made;
         rpc::changes<rpc::configuration_ptr> all;
         if (m_platform.m_configuration)
             all.m_rows.push_back(m_platform.m_configuration);
         finish(std::move(done), std::move(all));
     }
     void watch_configuration(
-        rpc::row_version /*version*/, absl::Duration /*wait*/,
-        absl::Duration timeout,
+        rpc::row_version version, absl::Duration wait, absl::Duration timeout,
         callback<rpc::changes<rpc::configuration_ptr>> done) override
     {
-        read_configuration(timeout, std::move(done));
+        if (m_watch_silent)
+            return;
+        watch(
+            [this, version]
+            {
+                return m_platform.m_configuration_version > version;
+            },
+            wait,
+            [this, timeout, done = std::move(done)]
+            {
+                read_configuration(timeout, done);
+            });
     }
     void read_endpoints(
         absl::Duration /*timeout*/,
         callback<rpc::changes<catalogue::endpoint_entry>> done) override
     {
+        ++m_made;
         rpc::changes<catalogue::endpoint_entry> all;
         all.m_rows = m_platform.m_entries;
         finish(std::move(done), std::move(all));
@@ -153,26 +173,37 @@
     void read_fleet(absl::Duration timeout,
                     callback<rpc::changes<rpc::fleet_row>> done) override
     {
-        watch_fleet({}, {}, timeout, std::move(done));
+        read_fleet_changes({}, timeout, std::move(done));
     }
-    void watch_fleet(rpc::row_version version, absl::Duration /*wait*/,
-                     absl::Duration /*timeout*/,
+    void watch_fleet(rpc::row_version version, absl::Duration wait,
+                     absl::Duration timeout,
                      callback<rpc::changes<rpc::fleet_row>> done) override
     {
         if (m_watch_silent)
             return;
-        finish(std::move(done), rows_after(version));
+        watch(
+            [this, version]
+            {
+                return rpc::row_version(m_platform.m_version) > version;
+            },
+            wait,
+            [this, version, timeout, done = std::move(done)]
+            {
+                read_fleet_changes(version, timeout, done);
+            });
     }
     void
     read_fleet_changes(rpc::row_version version, absl::Duration /*timeout*/,
                        callback<rpc::changes<rpc::fleet_row>> done) override
     {
+        ++m_made;
         finish(std::move(done), rows_after(version));
     }
     void change_fleet(const rpc::fleet_change& change,
                       absl::Duration /*timeout*/,
                       callback<rpc::change_outcome> done) override
     {
+        ++m_made;
         m_calls.emplace_back(
             [this, change, done = std::move(done)]
             {
@@ -192,16 +223,42 @@
     // Carries out the calls made so far.
     void run()
     {
+        auto watches = std::exchange(m_watches, {});
+        for (auto& item : watches)
+        {
+            if (item.m_changed() || m_clock.m_now >= item.m_until ||
+                !m_reachable)
+                item.m_answer();
+            else
+                m_watches.push_back(std::move(item));
+        }
         auto calls = std::exchange(m_calls, {});
         for (auto& call : calls)
             call();
     }
 
     bool m_reachable = true;
+    // Calls that the host has made.
+    std::uint64_t m_made = 0;
     // The watch's connection has gone silent; other calls are answered.
     bool m_watch_silent = false;
 
 private:
+    // A call that is answered when something has changed or its time is over.
+    struct pending_watch
+    {
+        std::function<bool()> m_changed;
+        base::instant m_until;
+        std::function<void()> m_answer;
+    };
+
+    void watch(std::function<bool()> changed, absl::Duration wait,
+               std::function<void()> answer)
+    {
+        m_watches.push_back(
+            {std::move(changed), m_clock.m_now + wait, std::move(answer)});
+    }
+
     [[nodiscard]] rpc::changes<rpc::fleet_row>
     rows_after(rpc::row_version version) const
     {
@@ -249,6 +306,7 @@
     fake_platform& m_platform;
     fake_clock& m_clock;
     std::vector<std::function<void()>> m_calls;
+    std::vector<pending_watch> m_watches;
 };
 
 // The platform's promotions.
@@ -293,10 +351,11 @@
 struct fake_host
 {
     fake_host(const std::string& name, fake_platform& platform,
-              fake_clock& clock, std::uint64_t incarnation = 1)
+              fake_clock& clock, std::uint64_t incarnation = 1,
+              const base::failure_domain_id& domain = {})
         : m_address(name + ":1"), m_store(platform, clock),
           m_promotions(platform),
-          m_host(options(name, m_address, incarnation),
+          m_host(options(name, m_address, incarnation, domain),
                  {clock, m_sessions, m_endpoints, m_store, m_promotions,
                   m_datagrams, m_metrics})
     {
@@ -304,12 +363,15 @@
 
     static entry::host_options options(const std::string& name,
                                        const std::string& address,
-                                       std::uint64_t incarnation)
+                                       std::uint64_t incarnation,
+                                       const base::failure_domain_id& domain)
     {
         entry::host_options result;
         result.m_fleet.m_self = base::host_id(name);
         result.m_fleet.m_incarnation = base::incarnation(incarnation);
         result.m_fleet.m_address = address;
+        result.m_fleet.m_failure_domain = domain;
+        result.m_runner.m_failure_domain = domain;
         return result;
     }
 
@@ -342,7 +404,7 @@
         config->m_keys["key-1"] = who;
         config->m_organisations[who] = {who, 1000, 1000};
         config->m_idle_transaction = absl::Seconds(3);
-        m_platform.m_configuration = config;
+        m_platform.configure(config);
         for (const char* name : {"e0", "e1", "e2"})
         {
             catalogue::endpoint_entry item;
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -212,7 +212,7 @@
     limited->m_version = base::configuration_version(2);
     const base::organisation_id who("souq");
     limited->m_organisations[who] = {who, rate, burst};
-    f.m_platform.m_configuration = limited;
+    f.m_platform.configure(limited);
     // The others count the host by now.
     f.run(absl::Seconds(6));
     f.m_hosts.erase(f.m_hosts.begin() + 2);
--- a/unittests/entry/statement_test.cpp
+++ b/unittests/entry/statement_test.cpp
@@ -265,7 +265,7 @@
         *f.m_platform.m_configuration);
     config->m_version = base::configuration_version(2);
     config->m_keys.clear();
-    f.m_platform.m_configuration = config;
+    f.m_platform.configure(config);
     f.run(absl::Milliseconds(200));
     f.m_driver.say(2, statement_kind::read, "READ a");
     cr_assert(f.m_driver.was_answered(2, "err unauthenticated"));
@@ -278,7 +278,7 @@
     auto config = std::make_shared<catalogue::configuration>(
         *f.m_platform.m_configuration);
     config->m_keys.clear();
-    f.m_platform.m_configuration = config;
+    f.m_platform.configure(config);
     f.run(absl::Milliseconds(200));
     f.m_driver.start(8, "settle");
     cr_assert(f.m_driver.was_answered(8, "ready I"));
@@ -372,7 +372,7 @@
     limited->m_version = base::configuration_version(2);
     const base::organisation_id who("souq");
     limited->m_organisations[who] = {who, 3, 30};
-    f.m_platform.m_configuration = limited;
+    f.m_platform.configure(limited);
     f.run(absl::Seconds(8));
     driver caller(f.host(0));
     const auto read = [&caller](std::uint64_t session)
