--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -54,9 +54,10 @@
     // them.
     absl::Duration m_member_pause = absl::Milliseconds(300);
     absl::Duration m_large_pause = absl::Milliseconds(2000);
-    // Pause after a read because a peer has a newer configuration. Versions may
-    // come in quick succession; each is in force within seconds all the same.
+    // Pause after a read because a peer has a newer configuration.
     absl::Duration m_catch_up_pause = absl::Milliseconds(200);
+    // In a large fleet the peer sends it; it is read when none has come by
+    // then.
     absl::Duration m_large_catch_up_pause = absl::Milliseconds(1000);
     absl::Duration m_call_timeout = absl::Milliseconds(1000);
     // Failed calls of a large fleet are repeated this many times later: many
@@ -116,6 +117,9 @@
     // A peer has read these endpoints later than this host.
     void endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
                         rpc::store_instant at, base::instant now);
+    // A peer's configuration.
+    void configuration_told(rpc::configuration_ptr configuration,
+                            base::instant now);
     // Reads the fleet's rows when they were confirmed too long ago.
     void rows_age(absl::Duration age, base::instant now);
     // Reads the configuration when a peer has a newer one.
@@ -166,6 +170,8 @@
     // True when the call succeeded.
     bool ended(lane& what, bool succeeded, const std::string& reason,
                base::instant now);
+    void use_configuration(const rpc::configuration_ptr& configuration,
+                           base::instant now);
     void take_configuration(const rpc::changes<rpc::configuration_ptr>& change,
                             base::instant now);
     [[nodiscard]] bool are_endpoints_due(base::instant now) const;
@@ -198,6 +204,8 @@
     base::instant m_endpoints_at;
     double m_spread;
     base::configuration_version m_configuration_version;
+    // Since when a peer has a newer one.
+    base::instant m_behind_since;
     rpc::row_version m_configuration_row;
     std::optional<rpc::row_version> m_fleet_version;
     // Highest version of a row of the fleet.
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -46,11 +46,19 @@
     std::size_t m_judges = 12;
     // A silent primary is told to the judges this often.
     absl::Duration m_suspicion_interval = absl::Milliseconds(250);
+    // Groups of one report, besides those whose leadership changes or whose
+    // primary does not answer. It bounds a report to some 1,200 bytes.
+    std::size_t m_told_groups = 24;
+    // A configuration goes to a peer in one datagram of at most so many bytes;
+    // hosts read a larger one from the store.
+    std::size_t m_largest_configuration = 60000;
+    // Time between two requests for a configuration.
+    absl::Duration m_configuration_interval = absl::Milliseconds(300);
     // Reports carry a leadership row for this long after its change.
     absl::Duration m_row_told_for = absl::Seconds(10);
     // Rows that nobody has confirmed for this long were asked for at the store
     // in vain.
-    absl::Duration m_isolated_after = absl::Milliseconds(2000);
+    absl::Duration m_isolated_after = absl::Milliseconds(1500);
     lease::currency_options m_currency;
     fleet::member_options m_members;
     handover::promotion_options m_promotion;
@@ -67,6 +75,9 @@
     virtual void
     endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
                    rpc::store_instant at, base::instant now) = 0;
+    // A peer's configuration, which may be older than this host's.
+    virtual void configuration_told(rpc::configuration_ptr configuration,
+                                    base::instant now) = 0;
 };
 
 // The links that the service uses.
@@ -98,6 +109,9 @@
     // answer comes to token_receiver.
     virtual bool request_tokens(const base::organisation_id& who,
                                 std::uint32_t amount) = 0;
+    // Gives a token back to the host that it came from.
+    virtual void return_token(const base::organisation_id& who,
+                              const base::host_id& lender) = 0;
 };
 
 // Takes part in the movement of tokens.
@@ -110,9 +124,13 @@
     virtual std::uint32_t lend_tokens(const base::organisation_id& who,
                                       std::uint32_t amount,
                                       base::instant now) = 0;
-    // Tokens to be spent at once.
+    // Tokens of the lender to be spent at once.
     virtual void tokens_granted(const base::organisation_id& who,
+                                const base::host_id& lender,
                                 std::uint32_t amount, base::instant now) = 0;
+    // Tokens that were lent and have not been used.
+    virtual void tokens_returned(const base::organisation_id& who,
+                                 std::uint32_t amount, base::instant now) = 0;
     // Whole tokens at hand of each organisation, to tell the others.
     [[nodiscard]] virtual std::map<base::organisation_id, std::uint32_t>
     tokens(base::instant now) const = 0;
@@ -156,6 +174,8 @@
 
     bool request_tokens(const base::organisation_id& who,
                         std::uint32_t amount) override;
+    void return_token(const base::organisation_id& who,
+                      const base::host_id& lender) override;
 
     // True when neither the store nor another failure domain is reached: the
     // host can serve little, and soon nothing.
@@ -177,10 +197,10 @@
     {
         return m_newest_configuration;
     }
-    // The version that this host has, to tell the others.
-    void set_configuration(base::configuration_version version)
+    // What this host has in force, to tell the others.
+    void set_configuration(rpc::configuration_ptr configuration)
     {
-        m_configuration = version;
+        m_configuration = std::move(configuration);
     }
 
     [[nodiscard]] std::optional<base::endpoint_id>
@@ -193,6 +213,13 @@
     // One group's leadership at this host.
     struct group_leadership
     {
+        // The group's endpoints, and the one of them that calls itself primary;
+        // none when several do.
+        std::vector<catalogue::endpoint_entry> m_entries;
+        std::optional<base::endpoint_id> m_initial_primary;
+        // The leader is listed and stays; kept when one of them changes.
+        bool m_leader_stays = false;
+        const group_state* m_state = nullptr;
         std::optional<fleet::leadership_row> m_row;
         rpc::row_version m_version;
         // The version that was carried out.
@@ -205,11 +232,19 @@
         std::unique_ptr<handover::promotion> m_promotion;
         // Since when a replacement has been needed.
         std::optional<base::instant> m_needed_since;
+        // When the group was in a report last, and the log point then.
+        base::instant m_told;
+        base::instant m_told_point;
+        base::instant m_newest_point;
     };
+    using group_item = std::pair<const base::group_id, group_leadership>;
 
     [[nodiscard]] bool is_current(base::instant now) const;
-    [[nodiscard]] std::optional<base::endpoint_id>
-    initial_primary(const base::group_id& group) const;
+    static void set_entries(group_leadership& group,
+                            std::vector<catalogue::endpoint_entry> entries);
+    static void update_leader_stays(group_leadership& group);
+    [[nodiscard]] bool is_quiet(const base::group_id& id,
+                                group_leadership& group) const;
     void take_leadership(const fleet::leadership_row& row,
                          rpc::row_version version, rpc::store_instant at,
                          base::instant now);
@@ -256,6 +291,13 @@
                    const std::vector<handover::promotion_action>& actions,
                    base::instant now);
     [[nodiscard]] fleet::host_report make_report(base::instant now);
+    [[nodiscard]] std::vector<group_item*> groups_to_tell(base::instant now);
+    [[nodiscard]] bool is_row_new(const group_leadership& group,
+                                  base::instant now) const;
+    [[nodiscard]] bool is_urgent(const base::group_id& id,
+                                 const group_leadership& group,
+                                 base::instant now) const;
+    void leaderships_complete(rpc::row_version version);
     [[nodiscard]] fleet::group_report
     make_group_report(const base::group_id& id, const group_leadership& group,
                       base::instant now) const;
@@ -273,6 +315,9 @@
     void take_endpoints(const fleet::endpoint_update& update,
                         base::instant now);
     void send_endpoints(const fleet::endpoint_request& request);
+    [[nodiscard]] base::configuration_version configuration_version() const;
+    void ask_configuration(const fleet::host_report& report, base::instant now);
+    void send_configuration(const fleet::configuration_request& request);
     void take_report(fleet::host_report report, base::instant now);
     void take_request(const fleet::token_transfer& request, base::instant now);
     void take_grant(const fleet::token_transfer& grant, base::instant now);
@@ -295,8 +340,8 @@
     std::map<base::group_id, group_leadership> m_groups;
     std::optional<fleet::duty_row> m_duty;
     rpc::row_version m_duty_version;
-    std::vector<catalogue::endpoint_entry> m_entries;
-    base::configuration_version m_configuration;
+    rpc::configuration_ptr m_configuration;
+    std::optional<base::instant> m_configuration_asked;
     base::configuration_version m_newest_configuration;
     // Until when the rows of members may be relied on as well. Only that may be
     // told others: a host that does not know that another one is marked as out
@@ -305,6 +350,8 @@
     fleet::member_relay m_relay;
     // The store's time after the change that registered this process.
     std::optional<rpc::store_instant> m_registered_at;
+    // Highest version of a leadership row that is known with all before.
+    rpc::row_version m_leaderships_version;
     // A peer has told of a leadership row that this host lacks.
     bool m_row_missing = false;
     fleet::endpoint_relay m_endpoints;
--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -51,6 +51,13 @@
     // Its entry is gone or says that it leaves.
     bool m_leaving = false;
     bool m_listed = true;
+
+    // True while it does not answer or fails what it runs.
+    [[nodiscard]] bool is_troubled() const
+    {
+        return m_health != endpoint_health::serving ||
+               m_failures.down_since().has_value();
+    }
 };
 
 // One group at this host.
@@ -59,8 +66,12 @@
     base::group_id m_id;
     std::map<base::endpoint_id, endpoint_state> m_endpoints;
     replication::commit_bounds m_bounds;
+    // When the primary itself has shown the end of its log last.
+    base::instant m_observed;
     // Sessions whose work has no connection, oldest first.
     std::deque<rpc::session_number> m_waiting;
+    // An endpoint did not answer, or failed what it ran, at the last tick.
+    bool m_troubled = false;
     // Set while these are being placed, which may free further connections.
     bool m_placing = false;
 };
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -78,6 +78,8 @@
     // The operation has not been sent to an endpoint yet, so its token of the
     // organisation's rate may be returned.
     bool m_holds_token = false;
+    // The host that the token came from; none when it is an own one.
+    std::optional<base::host_id> m_token_lender;
     // The endpoint has rolled the open transaction back; the caller learns it
     // from its next statement.
     bool m_lost = false;
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -93,8 +93,11 @@
 
     std::uint32_t lend_tokens(const base::organisation_id& who,
                               std::uint32_t amount, base::instant now) override;
-    void tokens_granted(const base::organisation_id& who, std::uint32_t amount,
+    void tokens_granted(const base::organisation_id& who,
+                        const base::host_id& lender, std::uint32_t amount,
                         base::instant now) override;
+    void tokens_returned(const base::organisation_id& who, std::uint32_t amount,
+                         base::instant now) override;
     [[nodiscard]] std::map<base::organisation_id, std::uint32_t>
     tokens(base::instant now) const override;
 
@@ -125,13 +128,17 @@
     bool serve_locally(session& who, const rpc::opaque_statement& what);
     void run(session& who, rpc::opaque_statement what, base::instant now);
     [[nodiscard]] admission_result identify(session& who) const;
-    void start(session& who, rpc::opaque_statement what, base::instant now);
+    void start(session& who, rpc::opaque_statement what,
+               const std::optional<base::host_id>& lender, base::instant now);
     void wait_for_token(session& who, rpc::opaque_statement what,
                         base::instant now);
     void refuse_waiting(const base::organisation_id& who, base::instant now);
     void refuse_first(const base::organisation_id& who, base::instant now);
-    void admit_waiting(const base::organisation_id& who, std::uint32_t amount,
-                       base::instant now);
+    void admit_waiting(const base::organisation_id& who, base::instant now);
+    bool admit_next(const base::organisation_id& who,
+                    const std::optional<base::host_id>& lender,
+                    base::instant now);
+    void give_back(session& who, base::instant now);
     void refuse(session& who, const rpc::opaque_statement& what,
                 const admission_result& why);
     void answer(session& who, std::optional<rpc::statement_error> error,
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -41,7 +41,7 @@
     int m_out_turns = 6;
     absl::Duration m_out_after = absl::Seconds(8);
     // A failure domain is reached while any of its hosts was heard within this.
-    absl::Duration m_contact = absl::Seconds(2);
+    absl::Duration m_contact = absl::Milliseconds(1500);
     // For this long after its start a host counts hosts that it has not heard
     // yet as live, so that not every host of a fleet that starts takes itself
     // for the only one.
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -35,9 +35,8 @@
     rpc::store_instant m_covered_at;
     // Zero when the primary answers.
     absl::Duration m_unreachable;
-    // Version of the leadership row that the host knows; 0 without one. The
-    // row itself comes along while it is new, for hosts that cannot reach the
-    // store.
+    // The leadership row with its version, while it is new, for hosts that do
+    // not follow the store or cannot reach it.
     rpc::row_version m_row_version;
     std::optional<leadership_row> m_row;
 };
@@ -57,7 +56,13 @@
     // Endpoints as the host has read them last, and when it did.
     std::uint64_t m_endpoints_digest = 0;
     rpc::store_instant m_endpoints_read_at;
+    // Highest version of a leadership row that the host knows, with all before,
+    // and the version after which all of these rows are in m_groups.
+    rpc::row_version m_leaderships_version;
+    rpc::row_version m_leaderships_after;
     quota::demand_report m_demand;
+    // Groups of which the host has news; the primaries of the others answer it,
+    // or it has not asked them.
     std::vector<group_report> m_groups;
 };
 
@@ -91,6 +96,11 @@
 {
     token_transfer m_tokens;
 };
+// The sender got the tokens from the receiver and did not use them.
+struct token_return
+{
+    token_transfer m_tokens;
+};
 // The sender has taken the tokens out of its own.
 struct token_grant
 {
@@ -110,8 +120,22 @@
     std::vector<catalogue::endpoint_entry> m_endpoints;
 };
 
-using datagram = std::variant<host_report, token_request, token_grant,
-                              member_update, endpoint_request, endpoint_update>;
+// The sender asks for the configuration that the receiver has in force.
+struct configuration_request
+{
+    base::host_id m_host;
+};
+
+// A configuration, passed on.
+struct configuration_update
+{
+    rpc::configuration_ptr m_configuration;
+};
+
+using datagram =
+    std::variant<host_report, token_request, token_grant, member_update,
+                 endpoint_request, endpoint_update, configuration_request,
+                 configuration_update, token_return>;
 
 std::string encode(const datagram& what);
 // `corrupt` when the bytes are no datagram.
--- a/include/magnoliastack/quota/demand_table.hpp
+++ b/include/magnoliastack/quota/demand_table.hpp
@@ -69,8 +69,14 @@
     // A host that was asked has given this many.
     void gave(const base::host_id& host, const base::organisation_id& who,
               std::uint32_t amount);
+    // So many were returned to it.
+    void returned(const base::host_id& host, const base::organisation_id& who,
+                  std::uint32_t amount);
 
 private:
+    [[nodiscard]] demand* find(const base::host_id& host,
+                               const base::organisation_id& who);
+
     struct own_demand
     {
         // Operations a second, decayed since m_updated.
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -98,12 +98,23 @@
     if (change.m_rows.empty() && !has_configuration())
         m_configuration.m_next = now + absl::Milliseconds(200);
     for (const auto& item : change.m_rows)
-    {
-        if (item->m_version <= m_configuration_version)
-            continue;
-        m_configuration_version = item->m_version;
-        m_events.configuration_changed(item, now);
-    }
+        use_configuration(item, now);
+}
+
+void fleet_follower::configuration_told(rpc::configuration_ptr configuration,
+                                        base::instant now)
+{
+    if (has_configuration())
+        use_configuration(configuration, now);
+}
+
+void fleet_follower::use_configuration(
+    const rpc::configuration_ptr& configuration, base::instant now)
+{
+    if (configuration->m_version <= m_configuration_version)
+        return;
+    m_configuration_version = configuration->m_version;
+    m_events.configuration_changed(configuration, now);
 }
 
 void fleet_follower::ask_endpoints(base::instant /*now*/)
@@ -236,8 +247,14 @@
 void fleet_follower::peer_has_configuration(base::configuration_version version,
                                             base::instant now)
 {
-    if (version <= m_configuration_version || m_catch_up.m_running ||
-        now < m_catch_up.m_next)
+    if (version <= m_configuration_version)
+    {
+        m_behind_since = now;
+        return;
+    }
+    if (m_catch_up.m_running || now < m_catch_up.m_next ||
+        (is_large_fleet() &&
+         now - m_behind_since < m_options.m_large_catch_up_pause))
         return;
     started(m_catch_up);
     m_store.read_configuration(
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -45,12 +45,13 @@
     own.m_absent = !leader;
     if (leader)
     {
-        const auto entry = std::find_if(m_entries.begin(), m_entries.end(),
-                                        [&leader](const auto& item)
-                                        {
-                                            return item.m_id == *leader;
-                                        });
-        own.m_leaving = entry == m_entries.end() || entry->m_leaving;
+        const auto entry =
+            std::find_if(group.m_entries.begin(), group.m_entries.end(),
+                         [&leader](const auto& item)
+                         {
+                             return item.m_id == *leader;
+                         });
+        own.m_leaving = entry == group.m_entries.end() || entry->m_leaving;
         own.m_unreachable = m_runner->unreachable_for(*leader, now);
     }
     // What others see counts only for a host that has no answer itself.
@@ -64,9 +65,12 @@
         const fleet::member* item = m_members.find(host);
         if (host == m_options.m_self || item == nullptr || !item->m_report)
             continue;
+        // A host that does not tell of the group has no complaint.
+        absl::Duration unreachable;
         for (const auto& report : item->m_report->m_groups)
             if (report.m_group == id)
-                others.push_back(report.m_unreachable);
+                unreachable = report.m_unreachable;
+        others.push_back(unreachable);
     }
     return handover::assess(own, others, m_options.m_assessment);
 }
@@ -117,23 +121,22 @@
     given.m_leadership_version = group.m_version;
     given.m_duty = m_duty;
     given.m_duty_version = m_duty_version;
-    given.m_primary = group.m_row
-                          ? group.m_row->m_primary
-                          : initial_primary(id).value_or(base::endpoint_id());
+    given.m_primary =
+        group.m_row ? group.m_row->m_primary
+                    : group.m_initial_primary.value_or(base::endpoint_id());
     given.m_released = is_released(id, group, now);
     given.m_primary_answers =
         m_runner->has_answered_since(given.m_primary, group.m_changed);
-    for (const auto& entry : m_entries)
+    for (const auto& entry : group.m_entries)
     {
-        if (entry.m_group != id || entry.m_leaving ||
-            entry.m_id == given.m_primary)
+        if (entry.m_leaving || entry.m_id == given.m_primary)
             continue;
         if (m_runner->unreachable_for(entry.m_id, now) == absl::ZeroDuration())
             given.m_candidates.push_back(entry.m_id);
     }
     // The old primary itself, when it is back and nobody else is there.
     if (given.m_candidates.empty())
-        for (const auto& entry : m_entries)
+        for (const auto& entry : group.m_entries)
             if (entry.m_id == given.m_primary && !entry.m_leaving)
                 given.m_candidates.push_back(entry.m_id);
     given.m_store_earliest =
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -16,7 +16,7 @@
     report.m_number = ++m_report_number;
     report.m_leaving = m_leaving;
     report.m_store_reachable = m_store_reachable;
-    report.m_configuration = m_configuration;
+    report.m_configuration = configuration_version();
     report.m_confirmed_at = m_all_rows.confirmed_at();
     report.m_members_version = m_members.complete_version();
     report.m_endpoints_digest = m_endpoints.digest();
@@ -24,11 +24,78 @@
     // A large fleet divides neither rates nor connections by demand.
     if (!m_homes.is_large_fleet())
         report.m_demand = m_demand.report(m_tokens->tokens(now), now);
+    report.m_leaderships_version = m_leaderships_version;
     for (const auto& [id, group] : m_groups)
-        report.m_groups.push_back(make_group_report(id, group, now));
+        if (!is_row_new(group, now))
+            report.m_leaderships_after =
+                std::max(report.m_leaderships_after, group.m_version);
+    for (const group_item* item : groups_to_tell(now))
+        report.m_groups.push_back(
+            make_group_report(item->first, item->second, now));
     return report;
 }
 
+bool fleet_service::is_row_new(const group_leadership& group,
+                               base::instant now) const
+{
+    return group.m_row && now - group.m_changed < m_options.m_row_told_for;
+}
+
+// Others wait for what this host says of the group.
+bool fleet_service::is_urgent(const base::group_id& id,
+                              const group_leadership& group,
+                              base::instant now) const
+{
+    if (is_row_new(group, now) ||
+        (group.m_row &&
+         group.m_row->m_phase == fleet::leadership_phase::moving))
+        return true;
+    const auto leader = primary(id, now);
+    return leader &&
+           m_runner->unreachable_for(*leader, now) > absl::ZeroDuration();
+}
+
+// Urgent groups, and as many others of whose log something new is known: first
+// what this host has seen itself, then what was told longest ago.
+std::vector<fleet_service::group_item*>
+fleet_service::groups_to_tell(base::instant now)
+{
+    std::vector<group_item*> urgent;
+    std::vector<std::pair<base::instant, group_item*>> others;
+    for (auto& item : m_groups)
+    {
+        group_leadership& group = item.second;
+        if (is_urgent(item.first, group, now))
+        {
+            urgent.push_back(&item);
+            continue;
+        }
+        const group_state* state = m_runner->find_group(item.first);
+        const auto newest =
+            state == nullptr ? std::nullopt : state->m_bounds.newest();
+        if (!newest || newest->m_sent <= group.m_told_point)
+            continue;
+        const bool own = state->m_observed > group.m_told;
+        others.emplace_back(own ? base::instant() : group.m_told, &item);
+        group.m_newest_point = newest->m_sent;
+    }
+    if (others.size() > m_options.m_told_groups)
+    {
+        std::nth_element(others.begin(),
+                         others.begin() + static_cast<std::ptrdiff_t>(
+                                              m_options.m_told_groups),
+                         others.end());
+        others.resize(m_options.m_told_groups);
+    }
+    for (const auto& [told, item] : others)
+    {
+        item->second.m_told = now;
+        item->second.m_told_point = item->second.m_newest_point;
+        urgent.push_back(item);
+    }
+    return urgent;
+}
+
 fleet::group_report
 fleet_service::make_group_report(const base::group_id& id,
                                  const group_leadership& group,
@@ -37,9 +104,11 @@
     fleet::group_report item;
     item.m_group = id;
     item.m_stopped_generation = group.m_stopped;
-    item.m_row_version = group.m_version;
-    if (group.m_row && now - group.m_changed < m_options.m_row_told_for)
+    if (is_row_new(group, now))
+    {
         item.m_row = *group.m_row;
+        item.m_row_version = group.m_version;
+    }
     const auto leader = primary(id, now);
     if (leader)
     {
@@ -108,8 +177,10 @@
     if (now < m_next_suspicion)
         return;
     std::set<base::host_id> hosts;
-    for (const auto& [id, group] : m_groups)
+    for (auto& [id, group] : m_groups)
     {
+        if (is_quiet(id, group))
+            continue;
         const auto leader = primary(id, now);
         if (!leader || m_runner->unreachable_for(*leader, now) <
                            m_options.m_assessment.m_suspicion)
@@ -156,12 +227,21 @@
         take_request(request->m_tokens, now);
     else if (const auto* grant = std::get_if<fleet::token_grant>(&*what))
         take_grant(grant->m_tokens, now);
+    else if (const auto* unused = std::get_if<fleet::token_return>(&*what))
+        m_tokens->tokens_returned(unused->m_tokens.m_organisation,
+                                  unused->m_tokens.m_amount, now);
     else if (const auto* update = std::get_if<fleet::member_update>(&*what))
         take_members(*update, now);
     else if (const auto* ask = std::get_if<fleet::endpoint_request>(&*what))
         send_endpoints(*ask);
     else if (const auto* list = std::get_if<fleet::endpoint_update>(&*what))
         take_endpoints(*list, now);
+    else if (const auto* wish =
+                 std::get_if<fleet::configuration_request>(&*what))
+        send_configuration(*wish);
+    else if (const auto* told =
+                 std::get_if<fleet::configuration_update>(&*what))
+        m_links.m_events.configuration_told(told->m_configuration, now);
 }
 
 void fleet_service::take_report(fleet::host_report report, base::instant now)
@@ -176,6 +256,7 @@
         m_demand.reported(host, taken.m_demand);
     m_newest_configuration =
         std::max(m_newest_configuration, taken.m_configuration);
+    ask_configuration(taken, now);
     take_rows(taken, now);
     pass_members_on(*m_members.find(host), now);
     if (m_endpoints.should_ask(taken, now))
@@ -196,19 +277,16 @@
 void fleet_service::take_rows(const fleet::host_report& report,
                               base::instant now)
 {
-    bool knows_all = true;
     // The row has changed by now; the sender may know it from another host.
     const auto changed_by =
         m_store_clock.latest(now).value_or(report.m_confirmed_at);
     for (const auto& group : report.m_groups)
-    {
         if (group.m_row)
             take_leadership(*group.m_row, group.m_row_version, changed_by, now);
-        else if (group.m_row_version > find(group.m_group).m_version)
-            knows_all = false;
-    }
-    m_row_missing = !knows_all;
-    if (!knows_all)
+    if (report.m_leaderships_after <= m_leaderships_version)
+        leaderships_complete(report.m_leaderships_version);
+    m_row_missing = report.m_leaderships_version > m_leaderships_version;
+    if (m_row_missing)
         return;
     m_currency.confirmed(report.m_confirmed_at);
     if (report.m_members_version <= m_members.complete_version())
@@ -253,6 +331,41 @@
         m_links.m_datagrams.send(to->m_row.m_address, fleet::encode(*update));
 }
 
+base::configuration_version fleet_service::configuration_version() const
+{
+    return m_configuration ? m_configuration->m_version
+                           : base::configuration_version();
+}
+
+// In a small fleet each host's watch has it at the same time.
+void fleet_service::ask_configuration(const fleet::host_report& report,
+                                      base::instant now)
+{
+    if (!m_homes.is_large_fleet() ||
+        report.m_configuration <= configuration_version() ||
+        (m_configuration_asked &&
+         now - *m_configuration_asked < m_options.m_configuration_interval))
+        return;
+    m_configuration_asked = now;
+    m_links.m_datagrams.send(
+        m_members.find(report.m_host)->m_row.m_address,
+        fleet::encode(fleet::configuration_request{m_options.m_self}));
+}
+
+void fleet_service::send_configuration(
+    const fleet::configuration_request& request)
+{
+    const fleet::member* to = m_members.find(request.m_host);
+    if (to == nullptr || !m_configuration)
+        return;
+    const std::string bytes =
+        fleet::encode(fleet::configuration_update{m_configuration});
+    if (bytes.size() > m_options.m_largest_configuration)
+        return;
+    m_links.m_metrics.counter("configurations.passed_on").add();
+    m_links.m_datagrams.send(to->m_row.m_address, bytes);
+}
+
 // In a small fleet each host that reaches the store learns the rows there. In a
 // large one hosts of the same failure domain tell each other.
 void fleet_service::pass_members_on(const fleet::member& to, base::instant now)
@@ -286,6 +399,18 @@
     return true;
 }
 
+void fleet_service::return_token(const base::organisation_id& who,
+                                 const base::host_id& lender)
+{
+    const fleet::member* to = m_members.find(lender);
+    if (to == nullptr)
+        return;
+    m_demand.returned(lender, who, 1);
+    m_links.m_datagrams.send(
+        to->m_row.m_address,
+        fleet::encode(fleet::token_return{transfer(who, 1)}));
+}
+
 void fleet_service::take_request(const fleet::token_transfer& request,
                                  base::instant now)
 {
@@ -305,7 +430,8 @@
 {
     m_homes.answered(grant.m_host, grant.m_organisation, grant.m_amount, now);
     m_demand.gave(grant.m_host, grant.m_organisation, grant.m_amount);
-    m_tokens->tokens_granted(grant.m_organisation, grant.m_amount, now);
+    m_tokens->tokens_granted(grant.m_organisation, grant.m_host, grant.m_amount,
+                             now);
 }
 
 fleet::token_transfer fleet_service::transfer(const base::organisation_id& who,
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -29,6 +29,8 @@
     update_shares(now);
     for (auto& [id, group] : m_groups)
     {
+        if (is_quiet(id, group))
+            continue;
         stop_moving(id, group, now);
         replace_primary(id, group, now);
     }
@@ -40,9 +42,59 @@
 void fleet_service::endpoints_changed(
     const std::vector<catalogue::endpoint_entry>& endpoints)
 {
-    m_entries = endpoints;
+    std::map<base::group_id, std::vector<catalogue::endpoint_entry>> by_group;
     for (const auto& entry : endpoints)
-        find(entry.m_group);
+        by_group[entry.m_group].push_back(entry);
+    for (auto& [id, group] : m_groups)
+        if (!by_group.contains(id))
+            set_entries(group, {});
+    for (auto& [id, entries] : by_group)
+        set_entries(find(id), std::move(entries));
+}
+
+void fleet_service::set_entries(group_leadership& group,
+                                std::vector<catalogue::endpoint_entry> entries)
+{
+    group.m_entries = std::move(entries);
+    group.m_initial_primary.reset();
+    std::size_t count = 0;
+    for (const auto& entry : group.m_entries)
+    {
+        if (!entry.m_primary)
+            continue;
+        group.m_initial_primary = entry.m_id;
+        ++count;
+    }
+    if (count != 1)
+        group.m_initial_primary.reset();
+    update_leader_stays(group);
+}
+
+void fleet_service::update_leader_stays(group_leadership& group)
+{
+    const auto leader =
+        group.m_row ? group.m_row->m_primary : group.m_initial_primary;
+    group.m_leader_stays =
+        leader && std::any_of(group.m_entries.begin(), group.m_entries.end(),
+                              [&leader](const auto& entry)
+                              {
+                                  return entry.m_id == *leader &&
+                                         !entry.m_leaving;
+                              });
+}
+
+// True when nothing asks for a replacement of the primary and none runs; most
+// groups of a large fleet are looked at no further.
+bool fleet_service::is_quiet(const base::group_id& id,
+                             group_leadership& group) const
+{
+    if (group.m_state == nullptr)
+        group.m_state = m_runner->find_group(id);
+    return group.m_promotion->is_idle() && group.m_leader_stays &&
+           !group.m_needed_since &&
+           (!group.m_row ||
+            group.m_row->m_phase == leadership_phase::serving) &&
+           (group.m_state == nullptr || !group.m_state->m_troubled);
 }
 
 void fleet_service::row_changed(const rpc::fleet_row& row,
@@ -95,6 +147,7 @@
         return;
     group.m_row = row;
     group.m_version = version;
+    update_leader_stays(group);
     group.m_changed_at = at;
     group.m_changed = now;
     m_log.info("leadership_changed",
@@ -115,12 +168,21 @@
     m_rows_known = true;
     m_store_clock.answered(at, sent, now);
     m_members.rows_complete(version);
+    leaderships_complete(version);
     m_currency.confirmed(at);
     m_all_rows.confirmed(at);
     m_row_missing = false;
     follow_leadership(now);
 }
 
+void fleet_service::leaderships_complete(rpc::row_version version)
+{
+    for (const auto& [id, group] : m_groups)
+        if (group.m_version <= version)
+            m_leaderships_version =
+                std::max(m_leaderships_version, group.m_version);
+}
+
 // Carries out what changed leaderships ask of this host.
 void fleet_service::follow_leadership(base::instant now)
 {
@@ -155,7 +217,7 @@
         return std::nullopt;
     const auto& row = found->second.m_row;
     if (!row)
-        return initial_primary(id);
+        return found->second.m_initial_primary;
     if (row->m_phase != leadership_phase::serving)
         return std::nullopt;
     return row->m_primary;
@@ -197,21 +259,6 @@
            m_currency.is_current(m_store_clock, now);
 }
 
-std::optional<base::endpoint_id>
-fleet_service::initial_primary(const base::group_id& group) const
-{
-    std::optional<base::endpoint_id> only;
-    for (const auto& entry : m_entries)
-    {
-        if (entry.m_group != group || !entry.m_primary)
-            continue;
-        if (only)
-            return std::nullopt;
-        only = entry.m_id;
-    }
-    return only;
-}
-
 // True when the host is marked and relies on no row any more.
 bool fleet_service::has_lapsed(const fleet::member& host,
                                base::instant now) const
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -17,6 +17,13 @@
 constexpr double end_part = 0.8;
 constexpr absl::Duration balancer_time = absl::Milliseconds(2200);
 
+// Connections of an endpoint that all hosts together keep while idle.
+std::size_t kept_connections(const catalogue::group& group)
+{
+    return static_cast<std::size_t>(group.m_max_connections *
+                                    pool_options().m_kept_part);
+}
+
 } // namespace
 
 drain_plan drain_times(absl::Duration limit)
@@ -107,7 +114,7 @@
     if (!configuration->m_organisations.empty())
         m_runner.set_own_organisation(
             configuration->m_organisations.begin()->first);
-    m_fleet.set_configuration(configuration->m_version);
+    m_fleet.set_configuration(configuration);
     m_service.set_configuration(std::move(configuration));
     apply_endpoints(now);
 }
@@ -127,6 +134,12 @@
     m_fleet.endpoints_read(endpoints, at);
 }
 
+void host::configuration_told(rpc::configuration_ptr configuration,
+                              base::instant now)
+{
+    m_follower.configuration_told(std::move(configuration), now);
+}
+
 void host::endpoints_told(std::vector<catalogue::endpoint_entry> endpoints,
                           rpc::store_instant at, base::instant now)
 {
@@ -158,17 +171,20 @@
     if (!configuration)
         return shares;
     const base::host_id& self = m_options.m_fleet.m_self;
+    const std::size_t hosts = m_fleet.members().size();
+    if (m_homes.is_large_fleet())
+    {
+        for (const auto& [id, group] : configuration->m_groups)
+            shares[id] = kept_connections(group) / hosts;
+        return shares;
+    }
     auto demands = m_demand.totals(self);
     // Members that have told nothing yet count with no demand.
     for (const auto& [id, member] : m_fleet.members().all())
         if (!member.m_row.m_out_since)
             demands.try_emplace(id, 0.0);
     for (const auto& [id, group] : configuration->m_groups)
-        shares[id] =
-            quota::divide(static_cast<std::size_t>(group.m_max_connections *
-                                                   pool_options().m_kept_part),
-                          demands)
-                .at(self);
+        shares[id] = quota::divide(kept_connections(group), demands).at(self);
     return shares;
 }
 
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -343,8 +343,11 @@
     if (!endpoint->m_position || *endpoint->m_position < position)
         endpoint->m_position = position;
     endpoint->m_position_at = now;
-    if (m_primaries.primary(group, now) == on.m_endpoint)
-        m_groups.at(group).m_bounds.observed(position, sent);
+    if (m_primaries.primary(group, now) != on.m_endpoint)
+        return;
+    group_state& state = m_groups.at(group);
+    state.m_bounds.observed(position, sent);
+    state.m_observed = now;
 }
 
 void statement_runner::connection_closed(base::connection_generation number,
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -154,11 +154,15 @@
     check_running(now);
     for (auto& [id, group] : m_groups)
     {
+        group.m_troubled = false;
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
         {
             check_silence(endpoint, now);
             trim(endpoint);
+            group.m_troubled |= endpoint.is_troubled();
         }
+        if (group.m_waiting.empty())
+            continue;
         check_waiting(group, now);
         place_waiting(id, now);
     }
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -195,17 +195,19 @@
     }
     m_demand.arrived(who.m_organisation, now);
     if (m_gate.try_take(*m_configuration, who.m_organisation, now))
-        start(who, std::move(what), now);
+        start(who, std::move(what), std::nullopt, now);
     else
         wait_for_token(who, std::move(what), now);
 }
 
 void session_service::start(session& who, rpc::opaque_statement what,
+                            const std::optional<base::host_id>& lender,
                             base::instant now)
 {
     who.m_wrote = false;
     who.m_lost = false;
     who.m_holds_token = true;
+    who.m_token_lender = lender;
     if (what.m_kind == statement_kind::begin ||
         what.m_kind == statement_kind::begin_read_only)
     {
@@ -354,11 +356,7 @@
                                         {"text", result.m_text},
                                         {"tries", finished.m_tried.size()},
                                         {"took", now - finished.m_arrived}});
-        if (std::exchange(who.m_holds_token, false))
-        {
-            m_metrics.counter("tokens.given_back").add();
-            m_gate.give_back(who.m_organisation, now);
-        }
+        give_back(who, now);
         if (commit)
             who.m_state = transaction_state::idle;
         else if (who.m_state == transaction_state::open)
@@ -396,7 +394,7 @@
     }
     for (auto& [who, waiting] : m_token_waiters)
     {
-        admit_waiting(who, 0, now);
+        admit_waiting(who, now);
         if (waiting.empty())
             continue;
         if (now >= waiting.front().m_until)
--- a/lib/entry/session_tokens.cpp
+++ b/lib/entry/session_tokens.cpp
@@ -47,9 +47,14 @@
 }
 
 void session_service::tokens_granted(const base::organisation_id& who,
+                                     const base::host_id& lender,
                                      std::uint32_t amount, base::instant now)
 {
-    admit_waiting(who, amount, now);
+    for (; amount > 0 && admit_next(who, lender, now); --amount)
+        ;
+    for (; amount > 0; --amount)
+        m_token_source->return_token(who, lender);
+    admit_waiting(who, now);
     const auto& waiting = m_token_waiters[who];
     if (waiting.empty() || m_token_source->request_tokens(
                                who, static_cast<std::uint32_t>(waiting.size())))
@@ -58,29 +63,57 @@
         refuse_waiting(who, now);
 }
 
+void session_service::tokens_returned(const base::organisation_id& who,
+                                      std::uint32_t amount, base::instant now)
+{
+    for (; amount > 0; --amount)
+        m_gate.give_back(who, now);
+    admit_waiting(who, now);
+}
+
+// The operation was refused before any endpoint was asked to run it.
+void session_service::give_back(session& who, base::instant now)
+{
+    if (!std::exchange(who.m_holds_token, false))
+        return;
+    m_metrics.counter("tokens.given_back").add();
+    if (who.m_token_lender)
+        m_token_source->return_token(who.m_organisation, *who.m_token_lender);
+    else
+        m_gate.give_back(who.m_organisation, now);
+}
+
 void session_service::admit_waiting(const base::organisation_id& who,
-                                    std::uint32_t amount, base::instant now)
+                                    base::instant now)
+{
+    if (!m_configuration)
+        return;
+    while (!m_token_waiters[who].empty() &&
+           m_gate.try_take(*m_configuration, who, now))
+        if (!admit_next(who, std::nullopt, now))
+            m_gate.give_back(who, now);
+}
+
+// Starts the operation that has waited longest; false when none waits.
+bool session_service::admit_next(const base::organisation_id& who,
+                                 const std::optional<base::host_id>& lender,
+                                 base::instant now)
 {
     auto& waiting = m_token_waiters[who];
     while (!waiting.empty())
     {
-        const auto found = m_sessions.find(waiting.front().m_session);
-        if (found == m_sessions.end() || !found->second->m_awaits_token)
-        {
-            waiting.pop_front();
-            continue;
-        }
-        if (amount > 0)
-            --amount;
-        else if (!m_gate.try_take(*m_configuration, who, now))
-            return;
         auto admitted = std::move(waiting.front());
         waiting.pop_front();
+        const auto found = m_sessions.find(admitted.m_session);
+        if (found == m_sessions.end() || !found->second->m_awaits_token)
+            continue;
         session& session = *found->second;
         session.m_awaits_token = false;
-        start(session, std::move(admitted.m_statement), now);
+        start(session, std::move(admitted.m_statement), lender, now);
         serve_next(session, now);
+        return true;
     }
+    return false;
 }
 
 void session_service::refuse_waiting(const base::organisation_id& who,
--- /dev/null
+++ b/lib/fleet/configuration_codec.cpp
@@ -0,0 +1,126 @@
+#include "configuration_codec.hpp"
+
+namespace magnoliastack::fleet
+{
+namespace
+{
+
+std::string text(capnp::Text::Reader value)
+{
+    return {value.cStr(), value.size()};
+}
+
+std::uint64_t milliseconds(absl::Duration span)
+{
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, absl::ToInt64Milliseconds(span)));
+}
+
+absl::Duration duration(std::uint64_t milliseconds)
+{
+    return absl::Milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+
+// A kind that this version does not know is read as the strictest one.
+catalogue::consistency consistency(std::uint8_t value)
+{
+    switch (value)
+    {
+    case 1:
+        return catalogue::consistency::bounded;
+    case 2:
+        return catalogue::consistency::read_your_writes;
+    default:
+        return catalogue::consistency::primary;
+    }
+}
+
+void write_route(wire::Route::Builder to, const std::string& database,
+                 const catalogue::route& from)
+{
+    to.setDatabase(database);
+    to.setId(from.m_id.str());
+    to.setGroup(from.m_group.str());
+    to.setConsistency(static_cast<std::uint8_t>(from.m_consistency));
+    to.setStatementTimeoutMs(milliseconds(from.m_statement_timeout));
+    to.setMaxStalenessMs(milliseconds(from.m_max_staleness));
+    to.setPriority(from.m_priority);
+    to.setOpen(from.m_open);
+}
+
+catalogue::route read_route(wire::Route::Reader from)
+{
+    catalogue::route to;
+    to.m_id = base::route_id(text(from.getId()));
+    to.m_group = base::group_id(text(from.getGroup()));
+    to.m_consistency = consistency(from.getConsistency());
+    to.m_statement_timeout = duration(from.getStatementTimeoutMs());
+    to.m_max_staleness = duration(from.getMaxStalenessMs());
+    to.m_priority = from.getPriority();
+    to.m_open = from.getOpen();
+    return to;
+}
+
+} // namespace
+
+void write_configuration(wire::Configuration::Builder to,
+                         const catalogue::configuration& from)
+{
+    to.setVersion(from.m_version.value());
+    to.setIdleTransactionMs(milliseconds(from.m_idle_transaction));
+    auto groups = to.initGroups(static_cast<unsigned>(from.m_groups.size()));
+    unsigned index = 0;
+    for (const auto& [id, group] : from.m_groups)
+    {
+        auto item = groups[index++];
+        item.setId(id.str());
+        item.setMaxConnections(group.m_max_connections);
+    }
+    auto routes = to.initRoutes(static_cast<unsigned>(from.m_routes.size()));
+    index = 0;
+    for (const auto& [database, route] : from.m_routes)
+        write_route(routes[index++], database, route);
+    auto organisations = to.initOrganisations(
+        static_cast<unsigned>(from.m_organisations.size()));
+    index = 0;
+    for (const auto& [id, organisation] : from.m_organisations)
+    {
+        auto item = organisations[index++];
+        item.setId(id.str());
+        item.setRate(organisation.m_rate);
+        item.setBurst(organisation.m_burst);
+    }
+    auto keys = to.initKeys(static_cast<unsigned>(from.m_keys.size()));
+    index = 0;
+    for (const auto& [key, organisation] : from.m_keys)
+    {
+        auto item = keys[index++];
+        item.setKey(key);
+        item.setOrganisation(organisation.str());
+    }
+}
+
+catalogue::configuration read_configuration(wire::Configuration::Reader from)
+{
+    catalogue::configuration to;
+    to.m_version = base::configuration_version(from.getVersion());
+    to.m_idle_transaction = duration(from.getIdleTransactionMs());
+    for (const auto item : from.getGroups())
+    {
+        const base::group_id id(text(item.getId()));
+        to.m_groups[id] = {id, item.getMaxConnections()};
+    }
+    for (const auto item : from.getRoutes())
+        to.m_routes[text(item.getDatabase())] = read_route(item);
+    for (const auto item : from.getOrganisations())
+    {
+        const base::organisation_id id(text(item.getId()));
+        to.m_organisations[id] = {id, item.getRate(), item.getBurst()};
+    }
+    for (const auto item : from.getKeys())
+        to.m_keys[text(item.getKey())] =
+            base::organisation_id(text(item.getOrganisation()));
+    return to;
+}
+
+} // namespace magnoliastack::fleet
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -1,5 +1,7 @@
 #include "magnoliastack/fleet/report.hpp"
 
+#include "configuration_codec.hpp"
+
 #include "magnoliastack/fleet.capnp.h"
 
 #include <capnp/message.h>
@@ -34,10 +36,10 @@
     to.setCoveredAt(from.m_covered_at.value());
     to.setUnreachableMs(static_cast<std::uint32_t>(
         absl::ToInt64Milliseconds(from.m_unreachable)));
-    to.setRowVersion(from.m_row_version.value());
     if (!from.m_row)
         return;
     to.setRowIncluded(true);
+    to.setRowVersion(from.m_row_version.value());
     to.setRowGeneration(from.m_row->m_generation);
     to.setRowMoving(from.m_row->m_phase == leadership_phase::moving);
     to.setRowPrimary(from.m_row->m_primary.str());
@@ -83,6 +85,8 @@
     to.m_members_version = rpc::row_version(from.getMembersVersion());
     to.m_endpoints_digest = from.getEndpointsDigest();
     to.m_endpoints_read_at = rpc::store_instant(from.getEndpointsReadAt());
+    to.m_leaderships_version = rpc::row_version(from.getLeadershipsVersion());
+    to.m_leaderships_after = rpc::row_version(from.getLeadershipsAfter());
     for (const auto item : from.getDemands())
         to.m_demand.push_back(
             {base::organisation_id(text(item.getOrganisation())),
@@ -104,6 +108,8 @@
     root.setMembersVersion(report.m_members_version.value());
     root.setEndpointsDigest(report.m_endpoints_digest);
     root.setEndpointsReadAt(report.m_endpoints_read_at.value());
+    root.setLeadershipsVersion(report.m_leaderships_version.value());
+    root.setLeadershipsAfter(report.m_leaderships_after.value());
     auto demands =
         root.initDemands(static_cast<unsigned>(report.m_demand.size()));
     unsigned index = 0;
@@ -234,12 +240,18 @@
         write(root.initTokenRequest(), request->m_tokens);
     else if (const auto* grant = std::get_if<token_grant>(&what))
         write(root.initTokenGrant(), grant->m_tokens);
+    else if (const auto* returned = std::get_if<token_return>(&what))
+        write(root.initTokenReturn(), returned->m_tokens);
     else if (const auto* update = std::get_if<member_update>(&what))
         write(root.initMembers(), *update);
     else if (const auto* ask = std::get_if<endpoint_request>(&what))
         root.initEndpointRequest().setHost(ask->m_host.str());
     else if (const auto* endpoints = std::get_if<endpoint_update>(&what))
         write(root.initEndpoints(), *endpoints);
+    else if (const auto* wish = std::get_if<configuration_request>(&what))
+        root.initConfigurationRequest().setHost(wish->m_host.str());
+    else if (const auto* told = std::get_if<configuration_update>(&what))
+        write_configuration(root.initConfiguration(), *told->m_configuration);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
@@ -264,6 +276,8 @@
                 result = token_request{read(root.getTokenRequest())};
             else if (root.isTokenGrant())
                 result = token_grant{read(root.getTokenGrant())};
+            else if (root.isTokenReturn())
+                result = token_return{read(root.getTokenReturn())};
             else if (root.isMembers())
                 result = read(root.getMembers());
             else if (root.isEndpointRequest())
@@ -271,6 +285,13 @@
                     base::host_id(text(root.getEndpointRequest().getHost()))};
             else if (root.isEndpoints())
                 result = read(root.getEndpoints());
+            else if (root.isConfigurationRequest())
+                result = configuration_request{base::host_id(
+                    text(root.getConfigurationRequest().getHost()))};
+            else if (root.isConfiguration())
+                result = configuration_update{
+                    std::make_shared<const catalogue::configuration>(
+                        read_configuration(root.getConfiguration()))};
             else
                 result = read(root.getReport());
         });
--- a/lib/quota/demand_table.cpp
+++ b/lib/quota/demand_table.cpp
@@ -93,16 +93,31 @@
 
 void demand_table::gave(const base::host_id& host,
                         const base::organisation_id& who, std::uint32_t amount)
+{
+    demand* known = find(host, who);
+    if (known == nullptr)
+        return;
+    // A host that gave nothing has none, whatever it told before.
+    const bool has_more = amount > 0 && amount < known->m_tokens;
+    known->m_tokens = has_more ? known->m_tokens - amount : 0;
+}
+
+void demand_table::returned(const base::host_id& host,
+                            const base::organisation_id& who,
+                            std::uint32_t amount)
+{
+    if (demand* known = find(host, who))
+        known->m_tokens += amount;
+}
+
+demand* demand_table::find(const base::host_id& host,
+                           const base::organisation_id& who)
 {
     const auto known = m_others.find(host);
     if (known == m_others.end())
-        return;
+        return nullptr;
     const auto found = known->second.find(who);
-    if (found == known->second.end())
-        return;
-    std::uint32_t& tokens = found->second.m_tokens;
-    // A host that gave nothing has none, whatever it told before.
-    tokens = amount == 0 || amount > tokens ? 0 : tokens - amount;
+    return found == known->second.end() ? nullptr : &found->second;
 }
 
 double demand_table::rate_at(const own_demand& item, base::instant now) const
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -13,7 +13,7 @@
   tokens @2 :UInt32;
 }
 
-# Tokens of an organisation's rate, asked for or lent.
+# Tokens of an organisation's rate, asked for, lent or returned unused.
 struct Tokens {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -29,6 +29,9 @@
     members @3 :MemberUpdate;
     endpointRequest @4 :EndpointRequest;
     endpoints @5 :EndpointUpdate;
+    configurationRequest @6 :ConfigurationRequest;
+    configuration @7 :Configuration;
+    tokenReturn @8 :Tokens;
   }
 }
 
@@ -56,6 +59,50 @@
   startedUnixMs @7 :Int64;
 }
 
+# Asks the receiver for the configuration that it has in force.
+struct ConfigurationRequest {
+  host @0 :Text;
+}
+
+# One version of the operators' declarations, as a whole.
+struct Configuration {
+  version @0 :UInt64;
+  groups @1 :List(Group);
+  routes @2 :List(Route);
+  organisations @3 :List(Organisation);
+  keys @4 :List(Key);
+  idleTransactionMs @5 :UInt64;
+}
+
+struct Group {
+  id @0 :Text;
+  maxConnections @1 :UInt32;
+}
+
+struct Route {
+  # The name of the database that callers ask for.
+  database @0 :Text;
+  group @1 :Text;
+  # 0 primary, 1 bounded, 2 read your writes.
+  consistency @2 :UInt8;
+  statementTimeoutMs @3 :UInt64;
+  maxStalenessMs @4 :UInt64;
+  priority @5 :UInt32;
+  open @6 :Bool;
+  id @7 :Text;
+}
+
+struct Organisation {
+  id @0 :Text;
+  rate @1 :Float64;
+  burst @2 :Float64;
+}
+
+struct Key {
+  key @0 :Text;
+  organisation @1 :Text;
+}
+
 # A member's row as the store has it.
 struct Member {
   host @0 :Text;
@@ -92,9 +139,8 @@
   coveredAt @5 :UInt64;
   # How long the primary has not answered, in milliseconds; 0 when it answers.
   unreachableMs @6 :UInt32;
-  # Version of the group's leadership row as the host knows it; 0 without one.
-  # The fields of the row follow while it is new; hosts that lack an older one
-  # read it from the store.
+  # The group's leadership row and its version, while it is new. Hosts that lack
+  # an older one read it from the store.
   rowVersion @7 :UInt64;
   rowGeneration @8 :UInt64;
   rowMoving @9 :Bool;
@@ -127,4 +173,8 @@
   # time of the reading in milliseconds.
   endpointsDigest @11 :UInt64;
   endpointsReadAt @12 :UInt64;
+  # Highest version of a leadership row that the host knows, with all before it,
+  # and the version after which all of them are among the groups.
+  leadershipsVersion @13 :UInt64;
+  leadershipsAfter @14 :UInt64;
 }
--- a/unittests/entry/scale_test.cpp
+++ b/unittests/entry/scale_test.cpp
@@ -1,6 +1,6 @@
 // What a host costs in fleets of several sizes: calls of the store, datagrams
 // and processor time may not grow with the number of hosts.
-#include "fakes.hpp"
+#include "driver.hpp"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -94,6 +94,20 @@
             add_host(index);
     }
 
+    // The primaries show the ends of their logs to the first host.
+    void observe_all_groups()
+    {
+        driver callers(*m_hosts.front());
+        std::uint64_t session = 0;
+        for (const auto& [name, route] : m_platform.m_configuration->m_routes)
+        {
+            callers.start(++session, name, "");
+            callers.say(session, rpc::statement_kind::write, "WRITE a b");
+            while (const auto request = callers.next_statement())
+                callers.succeed(*request);
+        }
+    }
+
     void forget_endpoint()
     {
         m_platform.m_entries.pop_back();
@@ -127,6 +141,7 @@
         config.m_routes[name] =
             fleet_fixture::route(catalogue::consistency::bounded);
         config.m_routes[name].m_group = group;
+        config.m_routes[name].m_open = true;
         if (m_platform.m_configuration)
             return;
         for (std::size_t index = 0; index < endpoints_of_a_group; ++index)
@@ -226,7 +241,7 @@
     const auto change = fleet.run(absl::Seconds(4));
     print("configuration, 4 s", hosts, change);
     cr_assert_eq(fleet.hosts_with_configuration(2), hosts);
-    cr_assert_leq(change.m_store_calls * 4, 1 + largest_steady * 4);
+    cr_assert_leq(change.m_store_calls, largest_steady);
     fleet.forget_endpoint();
     const auto gone = fleet.run(absl::Seconds(4));
     print("endpoint gone, 4 s", hosts, gone);
@@ -249,3 +264,20 @@
     cr_assert_leq(many.m_datagrams, few.m_datagrams * 6 / 4 + 1);
     cr_assert_leq(many.m_far_bytes, few.m_far_bytes * 1.1);
 }
+
+// The sweep at 100 hosts: a report told of each of several hundred groups, and
+// a host sent and decoded 760 KB of them a second. The fleet served a fifth of
+// its callers.
+Test(scale, a_report_does_not_grow_with_the_number_of_groups)
+{
+    constexpr std::size_t groups = 400;
+    large_fleet fleet(20, groups, 140);
+    fleet.run(absl::Seconds(6));
+    fleet.observe_all_groups();
+    const auto cost = fleet.run(absl::Seconds(1));
+    print("steady, 400 groups", 20, cost);
+    constexpr double largest_report = 2000;
+    constexpr double report_of_no_group = 100;
+    cr_assert_geq(cost.m_bytes / cost.m_datagrams, report_of_no_group);
+    cr_assert_leq(cost.m_bytes / cost.m_datagrams, largest_report);
+}
--- a/unittests/entry/statement_test.cpp
+++ b/unittests/entry/statement_test.cpp
@@ -397,3 +397,43 @@
     cr_assert(caller.next_statement().has_value());
     cr_assert_geq(f.host(0).m_metrics.counter("tokens.given_back").value(), 39);
 }
+
+// Large trouble-1, zone_cut: tokens that had come from a home were lost with
+// each refusal, since another host's bucket holds none.
+Test(statements, an_unused_token_of_another_host_returns_to_it)
+{
+    fleet_fixture f;
+    auto limited = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    limited->m_version = base::configuration_version(2);
+    const base::organisation_id who("souq");
+    limited->m_organisations[who] = {who, 1, 12};
+    f.m_platform.configure(limited);
+    f.run(absl::Seconds(12));
+    driver caller(f.host(0));
+    std::uint64_t session = 0;
+    const auto say = [&](const char* database, rpc::statement_kind kind)
+    {
+        caller.start(++session, database);
+        caller.say(session, kind, "READ a");
+        f.exchange();
+        f.exchange();
+    };
+    // Uses up the host's own tokens.
+    for (int count = 0; count < 4; ++count)
+    {
+        say("settle", rpc::statement_kind::read);
+        while (const auto request = caller.next_statement())
+            caller.succeed(*request);
+    }
+    // The primary goes, and what is refused has borrowed its token.
+    const auto open = f.host(0).m_endpoints.m_open;
+    for (const auto& [number, target] : open)
+        f.host(0).m_host.endpoints().connection_closed(number, true);
+    for (int count = 0; count < 30; ++count)
+        say("settle", rpc::statement_kind::read);
+    auto& metrics = f.host(0).m_metrics;
+    cr_assert_eq(metrics.counter("refused.admission.busy").value(), 0);
+    cr_assert_geq(metrics.counter("refused.no_endpoint").value(), 29);
+    cr_assert_geq(metrics.counter("tokens.asked").value(), 29);
+}
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -1,3 +1,5 @@
+#include "magnoliastack/fleet/endpoint_relay.hpp"
+#include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
 #include "magnoliastack/fleet/report.hpp"
 #include "magnoliastack/fleet/rows.hpp"
@@ -11,6 +13,7 @@
 
 using namespace magnoliastack::fleet;
 namespace base = magnoliastack::base;
+namespace catalogue = magnoliastack::catalogue;
 namespace rpc = magnoliastack::rpc;
 
 namespace
@@ -44,6 +47,38 @@
             rpc::store_instant(1), std::nullopt};
 }
 
+catalogue::endpoint_entry endpoint(const std::string& name)
+{
+    catalogue::endpoint_entry entry;
+    entry.m_id = base::endpoint_id(name);
+    entry.m_group = base::group_id("g");
+    entry.m_address = "10.0.0.1:5";
+    entry.m_failure_domain = base::failure_domain_id("d");
+    entry.m_slots = 4;
+    entry.m_leaving = true;
+    entry.m_started_unix_ms = 123456789;
+    return entry;
+}
+
+rpc::configuration_ptr declarations()
+{
+    auto result = std::make_shared<catalogue::configuration>();
+    result->m_version = base::configuration_version(7);
+    const base::group_id group("g");
+    result->m_groups[group] = {group, 180};
+    catalogue::route& route = result->m_routes["stock"];
+    route.m_group = group;
+    route.m_consistency = catalogue::consistency::read_your_writes;
+    route.m_statement_timeout = absl::Seconds(1);
+    route.m_max_staleness = absl::Milliseconds(2500);
+    route.m_priority = 2;
+    const base::organisation_id who("souq");
+    result->m_keys["key-1"] = who;
+    result->m_organisations[who] = {who, 12.5, 30};
+    result->m_idle_transaction = absl::Seconds(3);
+    return result;
+}
+
 base::instant at(int milliseconds)
 {
     return base::instant() + absl::Milliseconds(milliseconds);
@@ -66,17 +101,59 @@
 Test(report, damaged_bytes_never_stop_the_process)
 {
     std::mt19937 random(11);
-    const std::string whole = encode(datagram(sample()));
-    for (int run = 0; run < 3000; ++run)
+    member_update members{rpc::row_version(3), rpc::row_version(4), {}};
+    members.m_rows.push_back({row("h1", 5), rpc::row_version(4)});
+    for (const auto& what :
+         {datagram(sample()), datagram(members),
+          datagram(endpoint_update{rpc::store_instant(9), {endpoint("i-1")}}),
+          datagram(configuration_update{declarations()})})
     {
-        std::string bytes = whole.substr(0, random() % (whole.size() + 1));
-        for (int count = 0; count < 3 && !bytes.empty(); ++count)
-            bytes[random() % bytes.size()] = static_cast<char>(random());
-        // The verdict is free; the process has to survive it.
-        static_cast<void>(decode(bytes));
+        const std::string whole = encode(what);
+        for (int run = 0; run < 3000; ++run)
+        {
+            std::string bytes = whole.substr(0, random() % (whole.size() + 1));
+            for (int count = 0; count < 3 && !bytes.empty(); ++count)
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            // The verdict is free; the process has to survive it.
+            static_cast<void>(decode(bytes));
+        }
     }
 }
 
+Test(report, a_configuration_arrives_as_it_was_sent)
+{
+    const auto sent = declarations();
+    const auto decoded = decode(encode(configuration_update{sent}));
+    cr_assert(decoded.has_value());
+    const auto& told =
+        *std::get<configuration_update>(*decoded).m_configuration;
+    cr_assert_eq(told.m_version.value(), 7);
+    const auto& route = told.m_routes.at("stock");
+    cr_assert_eq(route.m_group.str(), "g");
+    cr_assert(route.m_consistency == catalogue::consistency::read_your_writes);
+    cr_assert_eq(route.m_priority, 2);
+    cr_assert(route.m_max_staleness == absl::Milliseconds(2500));
+    cr_assert(route.m_statement_timeout == absl::Milliseconds(1000));
+    cr_assert_not(route.m_open);
+    cr_assert_eq(told.m_keys.at("key-1").str(), "souq");
+    const auto& limits = told.m_organisations.at(base::organisation_id("souq"));
+    cr_assert_float_eq(limits.m_rate, 12.5, 1e-9);
+    cr_assert_float_eq(limits.m_burst, 30, 1e-9);
+    cr_assert_eq(told.m_groups.at(base::group_id("g")).m_max_connections, 180);
+    cr_assert(told.m_idle_transaction == absl::Seconds(3));
+}
+
+Test(report, endpoints_arrive_as_they_were_sent)
+{
+    const auto sent = endpoint("i-1");
+    const auto decoded =
+        decode(encode(endpoint_update{rpc::store_instant(9), {sent}}));
+    cr_assert(decoded.has_value());
+    const auto& told = std::get<endpoint_update>(*decoded);
+    cr_assert_eq(told.m_read_at.value(), 9);
+    cr_assert(told.m_endpoints.at(0) == sent);
+}
+
 Test(rows, each_kind_is_told_from_the_others)
 {
     duty_row duty{base::host_id("h"), base::incarnation(2), 7,
@@ -213,3 +290,64 @@
     cr_assert(book.to_mark(at(16000)).empty());
     cr_assert_eq(book.to_mark(at(17500)).size(), 5);
 }
+
+// A host's own change may be newer than a row that it has not seen: it must not
+// tell others that it knows all rows up to its own.
+Test(members, an_own_change_does_not_hide_an_older_row)
+{
+    member_book book(base::host_id("h0"), base::incarnation(1));
+    book.row_changed(row("h0", 1), rpc::row_version(9), rpc::store_instant(60),
+                     at(0));
+    cr_assert_eq(book.complete_version().value(), 0);
+    book.row_changed(row("h1", 1), rpc::row_version(8), rpc::store_instant(60),
+                     at(0));
+    book.rows_complete(rpc::row_version(8));
+    cr_assert_eq(book.complete_version().value(), 8);
+    book.rows_complete(rpc::row_version(20));
+    cr_assert_eq(book.complete_version().value(), 9);
+}
+
+// A host that reaches only its peers could not learn of a new member, and so
+// lost its part of the rates after a lease.
+Test(members, rows_that_a_peer_lacks_are_passed_on_in_order)
+{
+    member_book book(base::host_id("h0"), base::incarnation(1));
+    for (int host = 0; host < 30; ++host)
+        book.row_changed(row("h" + std::to_string(host), 5),
+                         rpc::row_version(static_cast<unsigned>(100 - host)),
+                         rpc::store_instant(60), at(0));
+    book.rows_complete(rpc::row_version(100));
+    host_report report = sample();
+    report.m_members_version = rpc::row_version(80);
+    cr_assert(book.report_received(report, at(10)));
+    member_relay relay;
+    const member& peer = *book.find(base::host_id("h1"));
+    const auto update = relay.next(book, peer, at(10));
+    cr_assert(update.has_value());
+    cr_assert_eq(update->m_after.value(), 80);
+    cr_assert_eq(update->m_rows.front().m_version.value(), 81);
+    cr_assert_eq(update->m_complete.value(),
+                 update->m_rows.back().m_version.value());
+    cr_assert_not(relay.next(book, peer, at(100)).has_value(),
+                  "it was told just now");
+    report.m_number = 10;
+    report.m_members_version = rpc::row_version(100);
+    cr_assert(book.report_received(report, at(1000)));
+    cr_assert_not(relay.next(book, peer, at(1000)).has_value());
+}
+
+Test(endpoint_relay, only_a_later_reading_of_other_endpoints_is_asked_for)
+{
+    endpoint_relay relay;
+    relay.read({endpoint("i-1")}, rpc::store_instant(100));
+    host_report report = sample();
+    report.m_endpoints_read_at = rpc::store_instant(200);
+    report.m_endpoints_digest = relay.digest();
+    cr_assert_not(relay.should_ask(report, at(0)));
+    report.m_endpoints_digest = 1;
+    cr_assert(relay.should_ask(report, at(0)));
+    cr_assert_not(relay.should_ask(report, at(100)), "it was asked just now");
+    report.m_endpoints_read_at = rpc::store_instant(90);
+    cr_assert_not(relay.should_ask(report, at(5000)));
+    cr_assert_not(relay.is_newer({rpc::store_instant(90), {}}));
+}
