Keep fewer idle connections than an endpoint accepts

Cause: in a large fleet each host kept at least one connection to each endpoint, 195 where an endpoint accepts 180. The rest of the division goes to hosts in rendezvous order of the group; the others close a connection after use. unit.entry scale (200 hosts) was red without it.

--- a/include/magnoliastack/entry/endpoint_pool.hpp
+++ b/include/magnoliastack/entry/endpoint_pool.hpp
@@ -36,7 +36,8 @@
 public:
     explicit endpoint_pool(pool_options options = {});
 
-    // Sets the connections that are kept.
+    // Sets the connections that are kept; a host of a fleet that is larger than
+    // the endpoint's limit may have to close each one after use.
     void set_share(std::size_t connections);
 
     // The idle connection of the organisation that needs the least change of
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -40,8 +40,10 @@
     quota::demand_options m_demand;
     drain_plan m_drain = drain_times(absl::Seconds(6));
     // Connections are divided anew after this; opening one costs 12 ms of an
-    // endpoint's slot, so they do not follow every change of demand.
+    // endpoint's slot, so they do not follow every change of demand. In a large
+    // fleet they follow the number of hosts only.
     absl::Duration m_division_interval = absl::Seconds(2);
+    absl::Duration m_large_division_interval = absl::Seconds(10);
 };
 
 // The links to the outside; they outlive the host.
@@ -131,6 +133,7 @@
 
 private:
     void apply_endpoints(base::instant now);
+    [[nodiscard]] std::size_t even_part(const catalogue::group& group) const;
     [[nodiscard]] std::map<base::group_id, std::size_t>
     connection_shares() const;
 
--- a/lib/entry/endpoint_pool.cpp
+++ b/lib/entry/endpoint_pool.cpp
@@ -31,7 +31,7 @@
 
 void endpoint_pool::set_share(std::size_t connections)
 {
-    m_share = std::max<std::size_t>(connections, 1);
+    m_share = connections;
 }
 
 connection* endpoint_pool::find_idle(const base::organisation_id& organisation,
@@ -65,7 +65,8 @@
 bool endpoint_pool::can_open(base::instant now) const
 {
     return now >= m_refused_until &&
-           m_connections.size() < m_share * m_options.m_largest_multiple;
+           m_connections.size() <
+               std::max<std::size_t>(m_share, 1) * m_options.m_largest_multiple;
 }
 
 connection& endpoint_pool::add(base::connection_generation number,
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -160,10 +160,24 @@
 
 void host::apply_endpoints(base::instant now)
 {
-    m_next_division = now + m_options.m_division_interval;
+    m_next_division =
+        now + (m_homes.is_large_fleet() ? m_options.m_large_division_interval
+                                        : m_options.m_division_interval);
     m_runner.set_endpoints(m_entries, connection_shares(), now);
 }
 
+// Hosts take the rest that the division leaves in an order of their own for
+// each group, so that together they never keep more than the endpoint accepts.
+std::size_t host::even_part(const catalogue::group& group) const
+{
+    const fleet::member_book& members = m_fleet.members();
+    const std::size_t hosts = members.size();
+    const std::size_t kept = kept_connections(group);
+    const bool takes_rest =
+        members.place(group.m_id.str(), false) < kept % hosts;
+    return kept / hosts + (takes_rest ? 1 : 0);
+}
+
 std::map<base::group_id, std::size_t> host::connection_shares() const
 {
     std::map<base::group_id, std::size_t> shares;
@@ -171,11 +185,10 @@
     if (!configuration)
         return shares;
     const base::host_id& self = m_options.m_fleet.m_self;
-    const std::size_t hosts = m_fleet.members().size();
     if (m_homes.is_large_fleet())
     {
         for (const auto& [id, group] : configuration->m_groups)
-            shares[id] = kept_connections(group) / hosts;
+            shares[id] = even_part(group);
         return shares;
     }
     auto demands = m_demand.totals(self);
--- a/unittests/entry/scale_test.cpp
+++ b/unittests/entry/scale_test.cpp
@@ -94,6 +94,30 @@
             add_host(index);
     }
 
+    // A caller of the host writes to the first group.
+    void run_statement(std::size_t host)
+    {
+        driver caller(*m_hosts[host]);
+        const std::uint64_t session = ++m_sessions;
+        caller.start(session, "ledger-0", "");
+        caller.say(session, rpc::statement_kind::write, "WRITE a b");
+        while (const auto request = caller.next_statement())
+            caller.succeed(*request);
+    }
+
+    // Connections of the endpoint that has the most, from all hosts.
+    [[nodiscard]] std::size_t largest_connection_count() const
+    {
+        std::map<base::endpoint_id, std::size_t> counts;
+        for (const auto& host : m_hosts)
+            for (const auto& [number, target] : host->m_endpoints.m_open)
+                ++counts[target.m_endpoint];
+        std::size_t largest = 0;
+        for (const auto& [endpoint, count] : counts)
+            largest = std::max(largest, count);
+        return largest;
+    }
+
     // The primaries show the ends of their logs to the first host.
     void observe_all_groups()
     {
@@ -205,6 +229,7 @@
     std::uint64_t m_versions = 0;
     absl::flat_hash_map<std::string, std::size_t> m_by_address;
     std::uint64_t m_incarnation = 1;
+    std::uint64_t m_sessions = 0;
     std::uint64_t m_sent = 0;
     std::uint64_t m_bytes = 0;
     std::uint64_t m_far_bytes = 0;
@@ -281,3 +306,18 @@
     cr_assert_geq(cost.m_bytes / cost.m_datagrams, report_of_no_group);
     cr_assert_leq(cost.m_bytes / cost.m_datagrams, largest_report);
 }
+
+// Large trouble-1: each of 195 hosts kept a connection to each endpoint, more
+// than an endpoint accepts, and others waited in vain for one in calm seconds.
+Test(scale, hosts_together_keep_fewer_connections_than_an_endpoint_accepts)
+{
+    constexpr std::size_t hosts = 200;
+    large_fleet fleet(hosts, 2, 10);
+    fleet.run(absl::Seconds(12));
+    for (int round = 0; round < 2; ++round)
+        for (std::size_t host = 0; host < hosts; ++host)
+            fleet.run_statement(host);
+    const std::size_t kept = fleet.largest_connection_count();
+    cr_assert_leq(kept, 180 * 6 / 10);
+    cr_assert_geq(kept, 60, "idle connections serve the next statement");
+}
