Read all pages of a table; pass long lists of endpoints on in parts

Cause: the store answers with 500 rows at most and says that there are more; the client ignored that. A fleet of more than 500 hosts and groups would have lost rows of members and leaderships the same way. Lists of endpoints that do not fit into one datagram go to peers in parts of 300.

unit.platform row_store reads 1,203 entries in three pages from a stand-in.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -312,8 +312,7 @@
     void take_rows(const fleet::host_report& report, base::instant now);
     void take_members(const fleet::member_update& update, base::instant now);
     void pass_members_on(const fleet::member& to, base::instant now);
-    void take_endpoints(const fleet::endpoint_update& update,
-                        base::instant now);
+    void take_endpoints(fleet::endpoint_update update, base::instant now);
     void send_endpoints(const fleet::endpoint_request& request);
     [[nodiscard]] base::configuration_version configuration_version() const;
     void ask_configuration(const fleet::host_report& report, base::instant now);
--- a/include/magnoliastack/fleet/endpoint_relay.hpp
+++ b/include/magnoliastack/fleet/endpoint_relay.hpp
@@ -8,6 +8,8 @@
 #include "absl/time/time.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -17,9 +19,10 @@
 // Limits of the relay.
 struct endpoint_relay_options
 {
-    // An update is one datagram of 64 KB at most; larger lists are read from
-    // the store by each host.
-    std::size_t m_largest_update = 400;
+    // Endpoints of one datagram, which holds 64 KB at most.
+    std::size_t m_largest_update = 300;
+    // Datagrams of one list; a larger one is read from the store by each host.
+    std::size_t m_largest_parts = 32;
     // Time between two requests of this host.
     absl::Duration m_interval = absl::Milliseconds(300);
 };
@@ -29,7 +32,8 @@
 class endpoint_relay
 {
 public:
-    explicit endpoint_relay(endpoint_relay_options options = {});
+    explicit endpoint_relay(base::host_id self,
+                            endpoint_relay_options options = {});
 
     // This host has the endpoints as of that time.
     void read(const std::vector<catalogue::endpoint_entry>& endpoints,
@@ -47,17 +51,27 @@
     // True when the reporting peer is to be asked now.
     bool should_ask(const host_report& report, base::instant now);
 
-    // What to send to a peer that asks, or none when it does not fit.
-    [[nodiscard]] std::optional<endpoint_update> update() const;
+    // What to send to a peer that asks: the parts of the list, or nothing when
+    // there is none or it is too large.
+    [[nodiscard]] std::vector<endpoint_update> updates() const;
 
-    // True when the update is later than what this host has.
-    [[nodiscard]] bool is_newer(const endpoint_update& update) const
-    {
-        return update.m_read_at > m_read_at;
-    }
+    // Takes a part; returns the whole list when this part completes one that is
+    // later than what this host has.
+    std::optional<std::vector<catalogue::endpoint_entry>>
+    received(endpoint_update part);
 
 private:
+    // A list of which some parts have come.
+    struct partial_list
+    {
+        base::host_id m_host;
+        rpc::store_instant m_read_at;
+        std::map<std::uint32_t, std::vector<catalogue::endpoint_entry>> m_parts;
+    };
+
+    base::host_id m_self;
     endpoint_relay_options m_options;
+    partial_list m_partial;
     std::vector<catalogue::endpoint_entry> m_endpoints;
     std::uint64_t m_digest = 0;
     rpc::store_instant m_read_at;
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -113,10 +113,15 @@
     base::host_id m_host;
 };
 
-// The endpoints as the store had them at that time.
+// A part of the endpoints as the store had them at that time.
 struct endpoint_update
 {
+    // The sender.
+    base::host_id m_host;
     rpc::store_instant m_read_at;
+    // Counted from 0, and how many parts there are.
+    std::uint32_t m_part = 0;
+    std::uint32_t m_parts = 1;
     std::vector<catalogue::endpoint_entry> m_endpoints;
 };
 
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -234,8 +234,8 @@
         take_members(*update, now);
     else if (const auto* ask = std::get_if<fleet::endpoint_request>(&*what))
         send_endpoints(*ask);
-    else if (const auto* list = std::get_if<fleet::endpoint_update>(&*what))
-        take_endpoints(*list, now);
+    else if (auto* list = std::get_if<fleet::endpoint_update>(&*what))
+        take_endpoints(std::move(*list), now);
     else if (const auto* wish =
                  std::get_if<fleet::configuration_request>(&*what))
         send_configuration(*wish);
@@ -314,21 +314,24 @@
     m_endpoints.read(endpoints, at);
 }
 
-void fleet_service::take_endpoints(const fleet::endpoint_update& update,
+void fleet_service::take_endpoints(fleet::endpoint_update update,
                                    base::instant now)
 {
-    if (!m_endpoints.is_newer(update))
+    const auto read_at = update.m_read_at;
+    auto endpoints = m_endpoints.received(std::move(update));
+    if (!endpoints)
         return;
     m_links.m_metrics.counter("endpoints.told_by_peer").add();
-    m_links.m_events.endpoints_told(update.m_endpoints, update.m_read_at, now);
+    m_links.m_events.endpoints_told(std::move(*endpoints), read_at, now);
 }
 
 void fleet_service::send_endpoints(const fleet::endpoint_request& request)
 {
     const fleet::member* to = m_members.find(request.m_host);
-    const auto update = m_endpoints.update();
-    if (to != nullptr && update)
-        m_links.m_datagrams.send(to->m_row.m_address, fleet::encode(*update));
+    if (to == nullptr)
+        return;
+    for (const auto& update : m_endpoints.updates())
+        m_links.m_datagrams.send(to->m_row.m_address, fleet::encode(update));
 }
 
 base::configuration_version fleet_service::configuration_version() const
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -14,7 +14,7 @@
       m_shares(quotas.m_shares), m_homes(quotas.m_homes),
       m_currency(m_options.m_currency),
       m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members),
-      m_all_rows(m_options.m_currency)
+      m_all_rows(m_options.m_currency), m_endpoints(m_options.m_self)
 {
 }
 
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -190,7 +190,10 @@
 
 void write(wire::EndpointUpdate::Builder to, const endpoint_update& from)
 {
+    to.setHost(from.m_host.str());
     to.setReadAt(from.m_read_at.value());
+    to.setPart(from.m_part);
+    to.setParts(from.m_parts);
     auto endpoints =
         to.initEndpoints(static_cast<unsigned>(from.m_endpoints.size()));
     unsigned index = 0;
@@ -211,7 +214,10 @@
 endpoint_update read(wire::EndpointUpdate::Reader from)
 {
     endpoint_update to;
+    to.m_host = base::host_id(text(from.getHost()));
     to.m_read_at = rpc::store_instant(from.getReadAt());
+    to.m_part = from.getPart();
+    to.m_parts = from.getParts();
     for (const auto item : from.getEndpoints())
     {
         catalogue::endpoint_entry& entry = to.m_endpoints.emplace_back();
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -40,10 +40,14 @@
   host @0 :Text;
 }
 
-# All endpoints as the store had them at a time, in its milliseconds.
+# Part of the endpoints as the store had them at a time, in its milliseconds.
 struct EndpointUpdate {
   readAt @0 :UInt64;
   endpoints @1 :List(Endpoint);
+  # The sender, which part it is, counted from 0, and how many there are.
+  host @2 :Text;
+  part @3 :UInt32;
+  parts @4 :UInt32;
 }
 
 struct Endpoint {
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -103,10 +103,13 @@
     std::mt19937 random(11);
     member_update members{rpc::row_version(3), rpc::row_version(4), {}};
     members.m_rows.push_back({row("h1", 5), rpc::row_version(4)});
-    for (const auto& what :
-         {datagram(sample()), datagram(members),
-          datagram(endpoint_update{rpc::store_instant(9), {endpoint("i-1")}}),
-          datagram(configuration_update{declarations()})})
+    for (const auto& what : {datagram(sample()), datagram(members),
+                             datagram(endpoint_update{base::host_id("h1"),
+                                                      rpc::store_instant(9),
+                                                      0,
+                                                      1,
+                                                      {endpoint("i-1")}}),
+                             datagram(configuration_update{declarations()})})
     {
         const std::string whole = encode(what);
         for (int run = 0; run < 3000; ++run)
@@ -146,8 +149,8 @@
 Test(report, endpoints_arrive_as_they_were_sent)
 {
     const auto sent = endpoint("i-1");
-    const auto decoded =
-        decode(encode(endpoint_update{rpc::store_instant(9), {sent}}));
+    const auto decoded = decode(encode(endpoint_update{
+        base::host_id("h1"), rpc::store_instant(9), 0, 1, {sent}}));
     cr_assert(decoded.has_value());
     const auto& told = std::get<endpoint_update>(*decoded);
     cr_assert_eq(told.m_read_at.value(), 9);
@@ -338,7 +341,7 @@
 
 Test(endpoint_relay, only_a_later_reading_of_other_endpoints_is_asked_for)
 {
-    endpoint_relay relay;
+    endpoint_relay relay(base::host_id("h0"));
     relay.read({endpoint("i-1")}, rpc::store_instant(100));
     host_report report = sample();
     report.m_endpoints_read_at = rpc::store_instant(200);
@@ -349,5 +352,25 @@
     cr_assert_not(relay.should_ask(report, at(100)), "it was asked just now");
     report.m_endpoints_read_at = rpc::store_instant(90);
     cr_assert_not(relay.should_ask(report, at(5000)));
-    cr_assert_not(relay.is_newer({rpc::store_instant(90), {}}));
+}
+
+// A list of several hundred endpoints does not fit into one datagram.
+Test(endpoint_relay, a_list_arrives_whole_or_not_at_all)
+{
+    std::vector<catalogue::endpoint_entry> many;
+    for (int index = 0; index < 1000; ++index)
+        many.push_back(endpoint("i-" + std::to_string(index)));
+    endpoint_relay sender(base::host_id("h0"));
+    sender.read(many, rpc::store_instant(100));
+    auto parts = sender.updates();
+    cr_assert_eq(parts.size(), 4);
+    endpoint_relay receiver(base::host_id("h1"));
+    for (const std::size_t part : {3, 0, 2})
+        cr_assert_not(receiver.received(parts[part]).has_value());
+    const auto whole = receiver.received(parts[1]);
+    cr_assert(whole.has_value());
+    cr_assert(*whole == many);
+    receiver.read(many, rpc::store_instant(100));
+    for (const auto& part : parts)
+        cr_assert_not(receiver.received(part).has_value(), "nothing is newer");
 }
--- /dev/null
+++ b/unittests/platform/row_store_test.cpp
@@ -0,0 +1,149 @@
+// The store's client against a table of more rows than one answer holds.
+#include "platform/row_store.hpp"
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+
+#include <map>
+#include <string>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace magnoliastack::platform;
+namespace asio = boost::asio;
+namespace base = magnoliastack::base;
+namespace http = boost::beast::http;
+namespace rpc = magnoliastack::rpc;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t largest_page = 500;
+
+// Answers reads of one table, a page at a time.
+class paged_store
+{
+public:
+    paged_store(asio::io_context& loop, std::size_t rows)
+        : m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          m_socket(loop)
+    {
+        for (std::size_t row = 0; row < rows; ++row)
+            m_rows[absl::StrCat("i-", 10000 + row)] = entry(row);
+        m_acceptor.async_accept(m_socket,
+                                [this](const boost::system::error_code& error)
+                                {
+                                    if (!error)
+                                        read();
+                                });
+    }
+
+    [[nodiscard]] tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+    [[nodiscard]] std::size_t reads() const
+    {
+        return m_reads;
+    }
+
+private:
+    static std::string entry(std::size_t row)
+    {
+        const nlohmann::json fields = {
+            {"service", absl::StrCat("ledger-", row / 3)},
+            {"addr", "10.0.0.1:5000"},
+            {"zone", "sohar"},
+            {"slots", 4},
+            {"state", "ready"},
+            {"db_role", row % 3 == 0 ? "primary" : "replica"},
+            {"seq", 1},
+            {"born", 1700000000000}};
+        return fields.dump();
+    }
+
+    void read()
+    {
+        m_request = {};
+        http::async_read(m_socket, m_buffer, m_request,
+                         [this](const boost::system::error_code& error,
+                                std::size_t /*bytes*/)
+                         {
+                             if (!error)
+                                 answer();
+                         });
+    }
+
+    void answer()
+    {
+        ++m_reads;
+        const std::string target(m_request.target());
+        const auto from = target.find("&from=");
+        const std::string first =
+            from == std::string::npos
+                ? ""
+                : target.substr(from + 6,
+                                target.find('&', from + 1) - from - 6);
+        nlohmann::json page = {{"ver", 40}, {"now_ms", 9000 + m_reads}};
+        page["rows"] = nlohmann::json::array();
+        auto row = m_rows.lower_bound(first);
+        for (; row != m_rows.end() && page["rows"].size() < largest_page; ++row)
+            page["rows"].push_back(
+                {{"key", row->first},
+                 {"ver", 7},
+                 {"value", absl::Base64Escape(row->second)}});
+        page["more_pages"] = row != m_rows.end();
+        m_response = {http::status::ok, 11};
+        m_response.body() = page.dump();
+        m_response.prepare_payload();
+        http::async_write(m_socket, m_response,
+                          [this](const boost::system::error_code& error,
+                                 std::size_t /*bytes*/)
+                          {
+                              if (!error)
+                                  read();
+                          });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    http::response<http::string_body> m_response;
+    std::map<std::string, std::string> m_rows;
+    std::size_t m_reads = 0;
+};
+
+} // namespace
+
+// The sweep at 100 hosts: only the first 500 endpoints were known, and callers
+// of the other groups were refused.
+Test(row_store, all_pages_of_the_endpoints_are_read)
+{
+    constexpr std::size_t rows = 1203;
+    asio::io_context loop;
+    paged_store server(loop, rows);
+    row_store store(loop, server.address());
+    std::size_t known = 0;
+    rpc::store_instant at;
+    store.read_endpoints(
+        absl::Seconds(5),
+        [&](const base::result<
+            rpc::changes<magnoliastack::catalogue::endpoint_entry>>& result)
+        {
+            cr_assert(result.has_value());
+            known = result->m_rows.size();
+            at = result->m_at;
+            loop.stop();
+        });
+    loop.run();
+    cr_assert_eq(known, rows);
+    cr_assert_eq(server.reads(), 3);
+    cr_assert_eq(at.value(), 9001, "what changed later is not known");
+}
