Close idle sessions of isolated hosts; answer what waits for a token at a stop

Once the balancer has had its 2.2 s, an isolated host closes the idle sessions that had started before.

Found beside it, one of the stories of operators of similar systems: at a planned stop sessions whose operation waited for a token counted as idle and were closed without an answer. The test was red for close_idle and, after that was mended, for the end of the drain as well.

--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -132,6 +132,7 @@
                         base::instant sent, base::instant now) override;
 
 private:
+    void follow_isolation(base::instant now);
     void apply_endpoints(base::instant now);
     [[nodiscard]] std::size_t even_part(const catalogue::group& group) const;
     [[nodiscard]] std::map<base::group_id, std::size_t>
@@ -149,6 +150,7 @@
     statement_runner m_runner;
     fleet_follower m_follower;
     std::vector<catalogue::endpoint_entry> m_entries;
+    std::optional<base::instant> m_isolated_since;
     std::optional<base::instant> m_draining_since;
     base::instant m_next_division;
 };
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -94,6 +94,7 @@
     std::optional<work> m_work;
     // Its next operation waits for a token.
     bool m_awaits_token = false;
+    base::instant m_started;
     base::instant m_last_activity;
 };
 
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -71,8 +71,9 @@
     // Idle transactions and stops. Call it every 50 ms or less.
     void tick(base::instant now);
 
-    // Planned stop: closes sessions between operations.
-    void close_idle(base::instant now);
+    // Closes sessions that are between operations and started until then; their
+    // callers come back through the balancer.
+    void close_idle(base::instant started_until, base::instant now);
     // Planned stop: ends open transactions as well.
     void abort_transactions(base::instant now);
     [[nodiscard]] std::size_t session_count() const
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -66,6 +66,7 @@
     m_service.tick(now);
     if (now >= m_next_division)
         apply_endpoints(now);
+    follow_isolation(now);
     if (!m_draining_since)
         return;
     const auto draining = now - *m_draining_since;
@@ -76,7 +77,29 @@
             m_fleet.leave(now);
     }
     else if (draining >= m_options.m_drain.m_close_idle)
-        m_service.close_idle(now);
+        m_service.close_idle(now, now);
+}
+
+// Callers whose sessions stay open would reach this host for as long as it is
+// isolated. Sessions that come later were sent here although it is not ready,
+// so no other host is better.
+void host::follow_isolation(base::instant now)
+{
+    if (!m_fleet.is_isolated(now))
+    {
+        if (m_isolated_since)
+            m_log.info("isolation_ended", {{"after", now - *m_isolated_since}});
+        m_isolated_since.reset();
+        return;
+    }
+    if (!m_isolated_since)
+    {
+        m_isolated_since = now;
+        m_log.warning("isolated", {{"sessions", m_service.session_count()}});
+    }
+    const auto moved = *m_isolated_since + balancer_time;
+    if (now >= moved)
+        m_service.close_idle(moved, now);
 }
 
 bool host::is_ready() const
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -54,6 +54,7 @@
     who->m_number = number;
     who->m_database = database;
     who->m_key = key;
+    who->m_started = now;
     who->m_last_activity = now;
     auto checked = identify(*who);
     if (!checked.m_error && m_sessions.size() >= m_options.m_largest_sessions)
@@ -417,11 +418,12 @@
     }
 }
 
-void session_service::close_idle(base::instant now)
+void session_service::close_idle(base::instant started_until, base::instant now)
 {
     std::vector<rpc::session_number> idle;
     for (const auto& [number, who] : m_sessions)
-        if (who->m_state == transaction_state::idle && !who->m_work)
+        if (who->m_state == transaction_state::idle && !who->m_work &&
+            !who->m_awaits_token && who->m_started <= started_until)
             idle.push_back(number);
     for (const auto number : idle)
         end(number, now);
@@ -431,7 +433,7 @@
 {
     std::vector<rpc::session_number> open;
     for (const auto& [number, who] : m_sessions)
-        if (!who->m_work)
+        if (!who->m_work && !who->m_awaits_token)
             open.push_back(number);
     for (const auto number : open)
         end(number, now);
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -282,3 +282,63 @@
     cr_assert_neq(f.m_platform.m_rows.at("member/h2").m_value.find("out_since"),
                   std::string::npos);
 }
+
+// Large trouble-1, zone_cut: new callers went to other domains, but those with
+// a session stayed at the isolated hosts and were refused until the cut ended.
+Test(fleet, an_isolated_host_closes_idle_sessions_once_the_balancer_has_moved)
+{
+    fleet_fixture f;
+    driver caller(f.host(2));
+    caller.start(1, "settle");
+    f.host(2).m_store.m_reachable = false;
+    f.host(2).m_heard = false;
+    f.run(absl::Seconds(3));
+    cr_assert_not(f.host(2).m_sessions.m_closed.contains(1),
+                  "the balancer still sends callers here");
+    f.run(absl::Seconds(3));
+    cr_assert(f.host(2).m_sessions.m_closed.contains(1));
+    // No host is better when the balancer sends callers here all the same.
+    caller.start(2, "settle");
+    f.run(absl::Seconds(3));
+    cr_assert_not(f.host(2).m_sessions.m_closed.contains(2));
+}
+
+// Operators of similar systems: a planned stop cut off requests that had just
+// been accepted. An operation that waited for a token was closed unanswered.
+Test(fleet, a_planned_stop_answers_an_operation_that_waits_for_a_token)
+{
+    fleet_fixture f;
+    auto limited = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    limited->m_version = base::configuration_version(2);
+    const base::organisation_id who("souq");
+    limited->m_organisations[who] = {who, 0.2, 12};
+    f.m_platform.configure(limited);
+    f.run(absl::Seconds(60));
+    driver caller(f.host(0));
+    std::uint64_t session = 0;
+    const auto read = [&]
+    {
+        caller.start(++session, "settle");
+        caller.say(session, statement_kind::read, "READ a");
+        while (const auto request = caller.next_statement())
+            caller.succeed(*request);
+    };
+    for (int count = 0; count < 16; ++count)
+        read();
+    f.host(0).m_host.drain();
+    // Another host is asked for a token and its answer does not come.
+    for (int step = 0; step < 80; ++step)
+    {
+        f.m_clock.m_now = f.m_clock.m_now + absl::Milliseconds(50);
+        f.host(0).m_datagrams.m_sent.clear();
+        if (!f.host(0).m_sessions.m_closed.contains(session))
+            read();
+        f.host(0).m_host.tick();
+        for (std::uint64_t number = 1; number <= session; ++number)
+            if (f.host(0).m_sessions.m_closed.contains(number))
+                cr_assert_not(f.host(0).m_sessions.m_sent[number].size() < 2,
+                              "session %lu was closed without an answer",
+                              number);
+    }
+}
