Bring all members' rows in one update; spread reports over the hosts

Rows of members went to hosts that do not follow the store twelve at a time. After a restart 195 rows change at once, so most hosts did not know them all within a lease and could give out no tokens. An update holds 600 rows now.

Hosts that start together went through the others in the same order from the same place, so each was told by all others at once and then by nobody for up to 40 s, and took itself for isolated. Each begins at its own place.

Both tests were red without their change.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -58,7 +58,7 @@
     absl::Duration m_row_told_for = absl::Seconds(10);
     // Rows that nobody has confirmed for this long were asked for at the store
     // in vain.
-    absl::Duration m_isolated_after = absl::Milliseconds(1500);
+    absl::Duration m_isolated_after = absl::Milliseconds(2000);
     lease::currency_options m_currency;
     fleet::member_options m_members;
     handover::promotion_options m_promotion;
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -103,6 +103,12 @@
                              : base::configuration_version();
     }
 
+    // False while the host may give out no tokens of a rate.
+    [[nodiscard]] bool may_admit() const
+    {
+        return m_gate.may_use();
+    }
+
     // Endpoints that are listed.
     [[nodiscard]] std::size_t endpoint_count() const
     {
--- a/include/magnoliastack/fleet/member_relay.hpp
+++ b/include/magnoliastack/fleet/member_relay.hpp
@@ -17,8 +17,10 @@
 // How much is passed on.
 struct relay_options
 {
-    // Rows of one datagram, which then fits into one packet of 1,500 bytes.
-    std::size_t m_largest_update = 12;
+    // Rows of one datagram of 64 KB at most. All hosts of a fleet that restarts
+    // change their rows at once, and a host that lacks some for longer than a
+    // lease may give out no tokens.
+    std::size_t m_largest_update = 600;
     // Time between two updates to the same host; its next report tells what it
     // has taken.
     absl::Duration m_interval = absl::Milliseconds(400);
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -41,7 +41,7 @@
     int m_out_turns = 6;
     absl::Duration m_out_after = absl::Seconds(8);
     // A failure domain is reached while any of its hosts was heard within this.
-    absl::Duration m_contact = absl::Milliseconds(1500);
+    absl::Duration m_contact = absl::Milliseconds(2000);
     // For this long after its start a host counts hosts that it has not heard
     // yet as live, so that not every host of a fleet that starts takes itself
     // for the only one.
@@ -142,8 +142,7 @@
     std::size_t m_near = 0;
     std::size_t m_far = 0;
     std::optional<base::failure_domain_id> m_own_domain;
-    std::size_t m_next_near = 0;
-    std::size_t m_next_far = 0;
+    std::size_t m_told_rounds = 0;
     // Since when the others may tell this host something: its row is there and
     // not marked.
     base::instant m_told_since;
--- a/include/magnoliastack/quota/token_gate.hpp
+++ b/include/magnoliastack/quota/token_gate.hpp
@@ -61,9 +61,10 @@
     [[nodiscard]] std::map<base::organisation_id, std::uint32_t>
     all_tokens(base::instant now) const;
 
-private:
     // False while nothing may be given out; tokens accrue meanwhile.
     [[nodiscard]] bool may_use() const;
+
+private:
     // Null without limits.
     admission::token_bucket* bucket(const catalogue::configuration& limits,
                                     const base::organisation_id& who,
--- a/lib/fleet/members.cpp
+++ b/lib/fleet/members.cpp
@@ -236,15 +236,20 @@
         chosen.insert(chosen.end(), far.begin(), far.end());
         return chosen;
     }
-    const auto take = [&chosen](const std::vector<std::string>& from,
-                                std::size_t count, std::size_t& next)
+    // Hosts begin at different places, so that each hears about as many in
+    // every round.
+    const auto start = base::rendezvous_weight(m_self, "reports");
+    const auto take =
+        [&](const std::vector<std::string>& from, std::size_t count)
     {
+        const std::size_t first = start + m_told_rounds * count;
         for (std::size_t taken = 0; taken < std::min(count, from.size());
              ++taken)
-            chosen.push_back(from[next++ % from.size()]);
+            chosen.push_back(from[(first + taken) % from.size()]);
     };
-    take(near, m_options.m_near_fan_out, m_next_near);
-    take(far, m_options.m_far_fan_out, m_next_far);
+    take(near, m_options.m_near_fan_out);
+    take(far, m_options.m_far_fan_out);
+    ++m_told_rounds;
     return chosen;
 }
 
--- a/unittests/entry/scale_test.cpp
+++ b/unittests/entry/scale_test.cpp
@@ -94,6 +94,17 @@
             add_host(index);
     }
 
+    // Hosts that may give out tokens, were they homes.
+    [[nodiscard]] std::size_t hosts_that_admit() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_hosts.begin(), m_hosts.end(),
+                          [](const auto& host)
+                          {
+                              return host->m_host.may_admit();
+                          }));
+    }
+
     // A caller of the host writes to the first group.
     void run_statement(std::size_t host)
     {
@@ -321,3 +332,21 @@
     cr_assert_leq(kept, 180 * 6 / 10);
     cr_assert_geq(kept, 60, "idle connections serve the next statement");
 }
+
+// Large trouble-3: five seconds after a restart of all hosts most of them could
+// give out nothing for three seconds, because the rows of 195 members reached
+// them twelve at a time.
+Test(scale, hosts_know_all_members_within_a_lease_of_a_restart)
+{
+    constexpr std::size_t hosts = 200;
+    large_fleet fleet(hosts, 4, 20);
+    fleet.run(absl::Seconds(8));
+    fleet.restart();
+    fleet.run(absl::Milliseconds(2500));
+    for (int second = 0; second < 8; ++second)
+    {
+        fleet.run(absl::Seconds(1));
+        cr_assert_eq(fleet.hosts_that_admit(), hosts, "%d s after the start",
+                     second + 3);
+    }
+}
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -328,6 +328,7 @@
     const auto update = relay.next(book, peer, at(10));
     cr_assert(update.has_value());
     cr_assert_eq(update->m_after.value(), 80);
+    cr_assert_eq(update->m_rows.size(), 20);
     cr_assert_eq(update->m_rows.front().m_version.value(), 81);
     cr_assert_eq(update->m_complete.value(),
                  update->m_rows.back().m_version.value());
@@ -374,3 +375,36 @@
     for (const auto& part : parts)
         cr_assert_not(receiver.received(part).has_value(), "nothing is newer");
 }
+
+// Large trouble-3: hosts that had started together all told the same host of
+// the other domains in each round, and each was told nothing for most of a
+// minute.
+Test(members, each_host_is_told_by_another_domain_in_nearly_every_second)
+{
+    constexpr int hosts = 60;
+    constexpr int domains = 6;
+    std::map<std::string, int> heard;
+    for (int self = 0; self < hosts; ++self)
+    {
+        const auto name = [](int host)
+        {
+            return "h" + std::to_string(100 + host);
+        };
+        member_book book(base::host_id(name(self)), base::incarnation(1));
+        for (int host = 0; host < hosts; ++host)
+        {
+            auto member = row(name(host), 1);
+            member.m_failure_domain =
+                base::failure_domain_id("d" + std::to_string(host % domains));
+            book.row_changed(member, rpc::row_version(2),
+                             rpc::store_instant(60), at(0));
+        }
+        for (int round = 0; round < 4; ++round)
+            for (const auto& address : book.targets())
+                if (std::stoi(address.substr(1)) % domains !=
+                    (100 + self) % domains)
+                    ++heard[address];
+    }
+    cr_assert_geq(heard.size(), hosts * 9 / 10, "%zu of %d hosts", heard.size(),
+                  hosts);
+}
