--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -32,6 +32,9 @@
     // them for this long; the lease is 5 s. Hosts wait longer one after the
     // other, because what the first one reads confirms the rows for all.
     absl::Duration m_confirm_after = absl::Milliseconds(1200);
+    // In a large fleet one reading serves many hosts, so it is made sooner, and
+    // an outage of the store is bridged for longer.
+    absl::Duration m_large_confirm_after = absl::Milliseconds(900);
     absl::Duration m_confirm_step = absl::Milliseconds(500);
     absl::Duration m_confirm_latest = absl::Milliseconds(3000);
     // An endpoint that leaves has several seconds left.
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -218,7 +218,8 @@
 absl::Duration fleet_follower::confirm_after() const
 {
     return std::min(m_options.m_confirm_latest,
-                    m_options.m_confirm_after +
+                    (is_large_fleet() ? m_options.m_large_confirm_after
+                                      : m_options.m_confirm_after) +
                         m_options.m_confirm_step *
                             static_cast<double>(m_reading_place));
 }
--- /dev/null
+++ b/lib/entry/fleet_relays.cpp
@@ -0,0 +1,102 @@
+// What hosts pass on to each other: members, endpoints, the configuration.
+#include "magnoliastack/entry/fleet_service.hpp"
+
+#include <utility>
+
+namespace magnoliastack::entry
+{
+
+// Rows of a process that has been replaced meanwhile are older and change
+// nothing.
+void fleet_service::take_members(const fleet::member_update& update,
+                                 base::instant now)
+{
+    const auto changed_by = m_store_clock.latest(now);
+    if (!changed_by)
+        return;
+    for (const auto& item : update.m_rows)
+        take_member(item.m_row, item.m_version, *changed_by, now);
+    if (update.m_after <= m_members.complete_version())
+        m_members.rows_complete(update.m_complete);
+}
+
+void fleet_service::endpoints_read(
+    const std::vector<catalogue::endpoint_entry>& endpoints,
+    rpc::store_instant at)
+{
+    m_endpoints.read(endpoints, at);
+}
+
+void fleet_service::take_endpoints(fleet::endpoint_update update,
+                                   base::instant now)
+{
+    const auto read_at = update.m_read_at;
+    auto endpoints = m_endpoints.received(std::move(update));
+    if (!endpoints)
+        return;
+    m_links.m_metrics.counter("endpoints.told_by_peer").add();
+    m_links.m_events.endpoints_told(std::move(*endpoints), read_at, now);
+}
+
+void fleet_service::send_endpoints(const fleet::endpoint_request& request)
+{
+    const fleet::member* to = m_members.find(request.m_host);
+    if (to == nullptr)
+        return;
+    for (const auto& update : m_endpoints.updates())
+        m_links.m_datagrams.send(to->m_row.m_address, fleet::encode(update));
+}
+
+base::configuration_version fleet_service::configuration_version() const
+{
+    return m_configuration ? m_configuration->m_version
+                           : base::configuration_version();
+}
+
+// In a small fleet each host's watch has it at the same time.
+void fleet_service::ask_configuration(const fleet::host_report& report,
+                                      base::instant now)
+{
+    if (!m_homes.is_large_fleet() ||
+        report.m_configuration <= configuration_version() ||
+        (m_configuration_asked &&
+         now - *m_configuration_asked < m_options.m_configuration_interval))
+        return;
+    m_configuration_asked = now;
+    m_links.m_datagrams.send(
+        m_members.find(report.m_host)->m_row.m_address,
+        fleet::encode(fleet::configuration_request{m_options.m_self}));
+}
+
+void fleet_service::send_configuration(
+    const fleet::configuration_request& request)
+{
+    const fleet::member* to = m_members.find(request.m_host);
+    if (to == nullptr || !m_configuration)
+        return;
+    const std::string bytes =
+        fleet::encode(fleet::configuration_update{m_configuration});
+    if (bytes.size() > m_options.m_largest_configuration)
+        return;
+    m_links.m_metrics.counter("configurations.passed_on").add();
+    m_links.m_datagrams.send(to->m_row.m_address, bytes);
+}
+
+// In a small fleet each host that reaches the store learns the rows there. In a
+// large one hosts of the same failure domain tell each other.
+void fleet_service::pass_members_on(const fleet::member& to, base::instant now)
+{
+    const bool follows =
+        to.m_report->m_store_reachable &&
+        !(m_homes.is_large_fleet() &&
+          to.m_row.m_failure_domain == m_options.m_failure_domain);
+    if (to.m_row.m_out_since || follows)
+        return;
+    const auto update = m_relay.next(m_members, to, now);
+    if (!update)
+        return;
+    m_links.m_metrics.counter("members.passed_on").add(update->m_rows.size());
+    m_links.m_datagrams.send(to.m_row.m_address, fleet::encode(*update));
+}
+
+} // namespace magnoliastack::entry
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -240,7 +240,7 @@
 
 bool fleet_service::is_isolated(base::instant now) const
 {
-    return confirmed_age(now) > m_options.m_isolated_after &&
+    return m_rows_known && confirmed_age(now) > m_options.m_isolated_after &&
            !m_members.hears_other_domain(now);
 }
 
