--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -133,6 +133,7 @@
                const std::optional<base::host_id>& lender, base::instant now);
     void wait_for_token(session& who, rpc::opaque_statement what,
                         base::instant now);
+    [[nodiscard]] admission_result no_token() const;
     void refuse_waiting(const base::organisation_id& who, base::instant now);
     void refuse_first(const base::organisation_id& who, base::instant now);
     void admit_waiting(const base::organisation_id& who, base::instant now);
--- a/lib/entry/session_tokens.cpp
+++ b/lib/entry/session_tokens.cpp
@@ -8,6 +8,14 @@
 
 using rpc::statement_error;
 
+session_service::admission_result session_service::no_token() const
+{
+    return {statement_error::busy,
+            m_gate.may_use() ? "no token of the organisation's rate is left"
+                             : "this host cannot confirm its part of the rates",
+            false};
+}
+
 void session_service::wait_for_token(session& who, rpc::opaque_statement what,
                                      base::instant now)
 {
@@ -20,9 +28,7 @@
         m_gate.wait(who.m_organisation, amount, now) <= m_options.m_token_wait;
     if (!comes_soon && (!asked || waiting.size() >= m_options.m_largest_queue))
     {
-        refuse(who, what,
-               {statement_error::busy,
-                "no token of the organisation's rate is left", false});
+        refuse(who, what, no_token());
         return;
     }
     who.m_awaits_token = true;
@@ -134,9 +140,7 @@
         return;
     session& session = *found->second;
     session.m_awaits_token = false;
-    refuse(session, item.m_statement,
-           {statement_error::busy,
-            "no token of the organisation's rate is left", false});
+    refuse(session, item.m_statement, no_token());
     serve_next(session, now);
 }
 
