Count a registration whose answer was lost

When the answer was lost and the row came by the watch, it never counted as known to the others and gave out no tokens of its own for the rest of its life. The time comes with the row now. The test was red before.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -254,7 +254,7 @@
     void register_self(base::instant now);
     void mark_silent(base::instant now);
     void change_members(const rpc::fleet_change& change,
-                        std::function<void(rpc::store_instant)> applied);
+                        std::function<void()> applied);
     void change_rows(const rpc::fleet_change& change, absl::Duration timeout,
                      rpc::fleet_store::callback<rpc::change_outcome> done);
     void take_member(const fleet::member_row& row, rpc::row_version version,
@@ -347,7 +347,7 @@
     // must not extend its reliance.
     lease::currency m_all_rows;
     fleet::member_relay m_relay;
-    // The store's time after the change that registered this process.
+    // A time of the store after the change that registered this process.
     std::optional<rpc::store_instant> m_registered_at;
     // Highest version of a leadership row that is known with all before.
     rpc::row_version m_leaderships_version;
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -131,6 +131,9 @@
         m_demand.ended(row.m_host);
     m_members.row_changed(row, version, at, now);
     m_members_changed = true;
+    // The answer to the change that wrote the row may have been lost.
+    if (row.m_host == m_options.m_self && m_members.is_registered())
+        m_registered_at = at;
     m_log.info("member_changed", {{"member", row.m_host},
                                   {"incarnation", row.m_incarnation},
                                   {"out", row.m_out_since.has_value()},
@@ -349,9 +352,8 @@
                                       row.m_member_since, m_store_clock, now);
     change_members(
         {{{key, m_members.own_version()}}, {{key, fleet::encode(row)}}},
-        [this, resumes](rpc::store_instant at)
+        [this, resumes]
         {
-            m_registered_at = at;
             if (!resumes)
                 return;
             m_homes.resume();
@@ -378,9 +380,8 @@
         {{{key, silent.front()->m_version}}, {{key, fleet::encode(row)}}}, {});
 }
 
-void fleet_service::change_members(
-    const rpc::fleet_change& change,
-    std::function<void(rpc::store_instant)> applied)
+void fleet_service::change_members(const rpc::fleet_change& change,
+                                   std::function<void()> applied)
 {
     m_member_change_running = true;
     m_links.m_metrics.counter("store.calls.member").add();
@@ -390,7 +391,7 @@
                 {
                     m_member_change_running = false;
                     if (result && result->m_applied && applied)
-                        applied(result->m_at);
+                        applied();
                     if (!result)
                         m_log.warning("member_change_failed",
                                       {{"reason", result.error().m_message}});
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -216,7 +216,11 @@
                 outcome.m_applied = apply(change);
                 outcome.m_at = at();
                 outcome.m_version = rpc::row_version(m_platform.m_version);
-                done(outcome);
+                if (m_change_answers_lost)
+                    done(base::fail(base::error_code::deadline_exceeded,
+                                    "no answer"));
+                else
+                    done(outcome);
             });
     }
 
@@ -238,6 +242,8 @@
     }
 
     bool m_reachable = true;
+    // Changes are carried out, but their answers do not come.
+    bool m_change_answers_lost = false;
     // Calls that the host has made.
     std::uint64_t m_made = 0;
     // The watch's connection has gone silent; other calls are answered.
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -342,3 +342,17 @@
                               number);
     }
 }
+
+// The answer to a host's registration may be lost although the row is there:
+// the host has to take its part of the rates all the same.
+Test(fleet, a_host_whose_registration_was_not_answered_has_its_part)
+{
+    fleet_fixture f;
+    f.m_hosts.pop_back();
+    f.m_hosts.push_back(
+        std::make_unique<fake_host>("h3", f.m_platform, f.m_clock));
+    f.host(2).m_store.m_change_answers_lost = true;
+    f.run(absl::Seconds(8));
+    cr_assert(uses_primary(f, 2, 1));
+    cr_assert_eq(f.host(2).m_metrics.counter("tokens.asked").value(), 0);
+}
