--- a/lib/fleet/configuration_codec.cpp
+++ b/lib/fleet/configuration_codec.cpp
@@ -1,15 +1,12 @@
 #include "configuration_codec.hpp"
 
+#include "wire_text.hpp"
+
 namespace magnoliastack::fleet
 {
 namespace
 {
 
-std::string text(capnp::Text::Reader value)
-{
-    return {value.cStr(), value.size()};
-}
-
 std::uint64_t milliseconds(absl::Duration span)
 {
     return static_cast<std::uint64_t>(
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -1,6 +1,7 @@
 #include "magnoliastack/fleet/report.hpp"
 
 #include "configuration_codec.hpp"
+#include "wire_text.hpp"
 
 #include "magnoliastack/fleet.capnp.h"
 
@@ -21,11 +22,6 @@
 constexpr std::uint64_t traversal_limit_words = 1U << 16;
 constexpr double milli = 1000;
 
-std::string text(capnp::Text::Reader value)
-{
-    return {value.cStr(), value.size()};
-}
-
 void write_group(wire::GroupReport::Builder to, const group_report& from)
 {
     to.setGroup(from.m_group.str());
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -466,6 +466,19 @@
                         to->m_host.datagram_received(bytes);
     }
 
+    // Puts a configuration in force with this rate and burst of the
+    // organisation.
+    void set_limits(double rate, double burst)
+    {
+        auto limited = std::make_shared<catalogue::configuration>(
+            *m_platform.m_configuration);
+        limited->m_version = base::configuration_version(
+            m_platform.m_configuration->m_version.value() + 1);
+        const base::organisation_id who("souq");
+        limited->m_organisations[who] = {who, rate, burst};
+        m_platform.configure(limited);
+    }
+
     fake_host& host(std::size_t index)
     {
         return *m_hosts[index];
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -207,12 +207,7 @@
     // The others may go on for 5 s after they were confirmed.
     constexpr int seconds = 5;
     fleet_fixture f;
-    auto limited = std::make_shared<catalogue::configuration>(
-        *f.m_platform.m_configuration);
-    limited->m_version = base::configuration_version(2);
-    const base::organisation_id who("souq");
-    limited->m_organisations[who] = {who, rate, burst};
-    f.m_platform.configure(limited);
+    f.set_limits(rate, burst);
     // The others count the host by now.
     f.run(absl::Seconds(6));
     f.m_hosts.erase(f.m_hosts.begin() + 2);
@@ -308,12 +303,7 @@
 Test(fleet, a_planned_stop_answers_an_operation_that_waits_for_a_token)
 {
     fleet_fixture f;
-    auto limited = std::make_shared<catalogue::configuration>(
-        *f.m_platform.m_configuration);
-    limited->m_version = base::configuration_version(2);
-    const base::organisation_id who("souq");
-    limited->m_organisations[who] = {who, 0.2, 12};
-    f.m_platform.configure(limited);
+    f.set_limits(0.2, 12);
     f.run(absl::Seconds(60));
     driver caller(f.host(0));
     std::uint64_t session = 0;
--- a/unittests/entry/statement_test.cpp
+++ b/unittests/entry/statement_test.cpp
@@ -367,12 +367,7 @@
 Test(statements, an_operation_that_no_endpoint_was_asked_to_run_costs_no_token)
 {
     fleet_fixture f;
-    auto limited = std::make_shared<catalogue::configuration>(
-        *f.m_platform.m_configuration);
-    limited->m_version = base::configuration_version(2);
-    const base::organisation_id who("souq");
-    limited->m_organisations[who] = {who, 3, 30};
-    f.m_platform.configure(limited);
+    f.set_limits(3, 30);
     f.run(absl::Seconds(8));
     driver caller(f.host(0));
     const auto read = [&caller](std::uint64_t session)
@@ -403,12 +398,7 @@
 Test(statements, an_unused_token_of_another_host_returns_to_it)
 {
     fleet_fixture f;
-    auto limited = std::make_shared<catalogue::configuration>(
-        *f.m_platform.m_configuration);
-    limited->m_version = base::configuration_version(2);
-    const base::organisation_id who("souq");
-    limited->m_organisations[who] = {who, 1, 12};
-    f.m_platform.configure(limited);
+    f.set_limits(1, 12);
     f.run(absl::Seconds(12));
     driver caller(f.host(0));
     std::uint64_t session = 0;
