Replace a leaving primary early enough when a host is silent

A planned change waited 5.5 s for hosts that cannot be asked, after up to 1.5 s until the entry was read. It waits 4.5 s now.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -35,8 +35,10 @@
     // A statement under way at a primary that moves may end within this.
     absl::Duration m_stop_wait = absl::Milliseconds(300);
     // A planned change waits this long until every host can be asked or has
-    // lapsed; the primary serves meanwhile.
-    absl::Duration m_planned_wait = absl::Milliseconds(5500);
+    // lapsed; the primary serves meanwhile. With the time until a host reads
+    // that the primary leaves it stays below the 7 s after which a leaving
+    // endpoint may get no work.
+    absl::Duration m_planned_wait = absl::Milliseconds(4500);
     // Hosts start a promotion one after the other, so that claims do not race.
     absl::Duration m_turn = absl::Milliseconds(150);
     absl::Duration m_change_timeout = absl::Milliseconds(800);
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -346,3 +346,25 @@
     cr_assert(uses_primary(f, 2, 1));
     cr_assert_eq(f.host(2).m_metrics.counter("tokens.asked").value(), 0);
 }
+
+// Hunt, Norðurljós mix seed 423158394178: a primary that was leaving got work
+// 7,015 ms after it had said so, because a silent host delayed its replacement.
+Test(fleet, a_leaving_primary_gets_no_work_after_seven_seconds)
+{
+    constexpr absl::Duration limit = absl::Milliseconds(6700);
+    for (absl::Duration phase; phase < absl::Milliseconds(1500);
+         phase += absl::Milliseconds(250))
+    {
+        fleet_fixture f;
+        f.run(absl::Seconds(2) + phase);
+        f.host(2).m_store.m_reachable = false;
+        f.host(2).m_heard = false;
+        f.m_platform.m_entries[0].m_leaving = true;
+        f.run(limit);
+        for (std::size_t host = 0; host < 2; ++host)
+            cr_assert(f.host(host).m_host.primary(base::group_id("g")) !=
+                          base::endpoint_id("e0"),
+                      "%ld ms after a reading",
+                      absl::ToInt64Milliseconds(phase));
+    }
+}
