Tell the store's eras apart in logs and counters

What callers saw: nothing; logs could not tell a return of the store from an outage. Cause: the era in the header of the store's answers was not read.

Change: row_store passes the era on with each answer, the follower logs store_returned and history_gone and counts returns, watches whose history is gone, and answers of an older era. No decision depends on the era yet.

Conclusion: watches get 410 as long as the store is one version short; after that nothing would tell a host that it missed something.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -170,6 +170,11 @@
     [[nodiscard]] absl::Duration watch_wait() const;
     [[nodiscard]] absl::Duration confirm_after() const;
     void started(lane& what);
+    // Notes which era of the store an answer is of, and its newest version.
+    void note_era(rpc::store_era era, rpc::row_version version,
+                  rpc::store_instant at);
+    // Notes a watch that asked for history which the store does not have.
+    void note_history_gone(const lane& what, rpc::row_version version);
     // True when the call succeeded.
     bool ended(lane& what, bool succeeded, const std::string& reason,
                base::instant now);
@@ -207,6 +212,9 @@
     base::instant m_endpoints_at;
     double m_spread;
     base::configuration_version m_configuration_version;
+    // Era of the newest answer, and the highest version seen in it.
+    std::optional<rpc::store_era> m_era;
+    rpc::row_version m_newest_version;
     // Since when a peer has a newer one.
     base::instant m_behind_since;
     rpc::row_version m_configuration_row;
--- a/include/magnoliastack/rpc/fleet_store.hpp
+++ b/include/magnoliastack/rpc/fleet_store.hpp
@@ -24,6 +24,11 @@
 // A point on the store's steady clock.
 using store_instant = base::strong_number<struct store_instant_ms_tag>;
 
+// Counts how often the store has come back from an older copy. Versions are
+// given out again after a return, so versions of different eras tell nothing
+// about each other.
+using store_era = base::strong_number<struct store_era_tag>;
+
 // A row that the fleet itself keeps.
 struct fleet_row
 {
@@ -48,6 +53,7 @@
     std::vector<fleet_row> m_rows;
     row_version m_version;
     store_instant m_at;
+    store_era m_era;
 };
 
 // Rows that changed, and the version to go on from.
@@ -57,6 +63,7 @@
     std::vector<Row> m_rows;
     row_version m_version;
     store_instant m_at;
+    store_era m_era;
 };
 
 using configuration_ptr = std::shared_ptr<const catalogue::configuration>;
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -70,6 +70,34 @@
     return false;
 }
 
+void fleet_follower::note_era(rpc::store_era era, rpc::row_version version,
+                              rpc::store_instant at)
+{
+    if (m_era && era < *m_era)
+    {
+        m_metrics.counter("store.outdated_answers").add();
+        return;
+    }
+    if (m_era && era > *m_era)
+    {
+        m_metrics.counter("store.returns").add();
+        m_log.warning("store_returned", {{"era", era},
+                                         {"version", version},
+                                         {"version_before", m_newest_version},
+                                         {"at_ms", at}});
+        m_newest_version = {};
+    }
+    m_era = era;
+    m_newest_version = std::max(m_newest_version, version);
+}
+
+void fleet_follower::note_history_gone(const lane& what,
+                                       rpc::row_version version)
+{
+    m_metrics.counter("store.history_gone").add();
+    m_log.info("history_gone", {{"part", what.m_name}, {"after", version}});
+}
+
 void fleet_follower::ask_configuration(base::instant /*now*/)
 {
     started(m_configuration);
@@ -78,7 +106,10 @@
     {
         const auto now = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
+        {
+            note_history_gone(m_configuration, m_configuration_row);
             m_configuration_row = {};
+        }
         if (ended(m_configuration, result.has_value(),
                   result ? "" : result.error().m_message, now))
             take_configuration(*result, now);
@@ -94,6 +125,7 @@
 void fleet_follower::take_configuration(
     const rpc::changes<rpc::configuration_ptr>& change, base::instant now)
 {
+    note_era(change.m_era, change.m_version, change.m_at);
     m_configuration_row = std::max(m_configuration_row, change.m_version);
     if (change.m_rows.empty() && !has_configuration())
         m_configuration.m_next = now + absl::Milliseconds(200);
@@ -128,6 +160,7 @@
             if (!ended(m_endpoints, result.has_value(),
                        result ? "" : result.error().m_message, received))
                 return;
+            note_era(result->m_era, result->m_version, result->m_at);
             m_endpoints_at = received;
             if (m_has_endpoints &&
                 received - m_healthy_since < m_options.m_lapse_grace)
@@ -194,7 +227,11 @@
     {
         const auto received = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
+        {
+            note_history_gone(m_fleet,
+                              m_fleet_version.value_or(rpc::row_version()));
             m_fleet_version.reset();
+        }
         if (ended(m_fleet, result.has_value(),
                   result ? "" : result.error().m_message, received))
             take_fleet(*result, sent, received);
@@ -238,7 +275,11 @@
         {
             const auto received = m_clock.now();
             if (!result && result.error().m_code == base::error_code::not_found)
+            {
+                note_history_gone(m_refresh,
+                                  m_fleet_version.value_or(rpc::row_version()));
                 m_fleet_version.reset();
+            }
             if (ended(m_refresh, result.has_value(),
                       result ? "" : result.error().m_message, received))
                 take_fleet(*result, sent, received);
@@ -275,6 +316,7 @@
 void fleet_follower::take_fleet(const rpc::changes<rpc::fleet_row>& change,
                                 base::instant sent, base::instant now)
 {
+    note_era(change.m_era, change.m_version, change.m_at);
     if (!m_fleet_version)
         m_rows_known_at = now;
     m_fleet_version = m_fleet_version
