--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -103,8 +103,26 @@
     }
 };
 
+// What the store holds.
+struct stored_state
+{
+    std::uint64_t m_version = 10;
+    rpc::configuration_ptr m_configuration;
+    rpc::row_version m_configuration_version;
+    std::vector<catalogue::endpoint_entry> m_entries;
+    std::map<std::string, rpc::fleet_row> m_rows;
+};
+
+// A promotion that the platform was asked for.
+struct asked_promotion
+{
+    base::endpoint_id m_endpoint;
+    std::uint64_t m_token = 0;
+    base::host_id m_holder;
+};
+
 // The platform's store and promotions, shared by all hosts of a test.
-struct fake_platform
+struct fake_platform : stored_state
 {
     // Puts a configuration in force.
     void configure(rpc::configuration_ptr configuration)
@@ -113,12 +131,21 @@
         m_configuration_version = rpc::row_version(++m_version);
     }
 
-    std::uint64_t m_version = 10;
-    rpc::configuration_ptr m_configuration;
-    rpc::row_version m_configuration_version;
-    std::vector<catalogue::endpoint_entry> m_entries;
-    std::map<std::string, rpc::fleet_row> m_rows;
-    std::vector<std::pair<base::endpoint_id, std::uint64_t>> m_promoted;
+    // The store as it is now, to come back from later.
+    [[nodiscard]] stored_state copy() const
+    {
+        return *this;
+    }
+    // The store comes back from an older copy: versions are given out again,
+    // and every answer tells the next era.
+    void come_back(const stored_state& older)
+    {
+        static_cast<stored_state&>(*this) = older;
+        ++m_era;
+    }
+
+    std::uint64_t m_era = 1;
+    std::vector<asked_promotion> m_promoted;
 };
 
 // One host's way to the store. Calls wait until the test carries them out.
@@ -153,12 +180,13 @@
         watch(
             [this, version]
             {
-                return m_platform.m_configuration_version > version;
+                return m_platform.m_configuration_version > version ||
+                       has_lost(version);
             },
             wait,
-            [this, timeout, done = std::move(done)]
+            [this, version, timeout, done = std::move(done)]
             {
-                read_configuration(timeout, done);
+                read_changed_configuration(version, timeout, done);
             });
     }
     void read_endpoints(
@@ -184,7 +212,8 @@
         watch(
             [this, version]
             {
-                return rpc::row_version(m_platform.m_version) > version;
+                return rpc::row_version(m_platform.m_version) > version ||
+                       has_lost(version);
             },
             wait,
             [this, version, timeout, done = std::move(done)]
@@ -197,7 +226,10 @@
                        callback<rpc::changes<rpc::fleet_row>> done) override
     {
         ++m_made;
-        finish(std::move(done), rows_after(version));
+        if (has_lost(version))
+            refuse(std::move(done));
+        else
+            finish(std::move(done), rows_after(version));
     }
     void change_fleet(const rpc::fleet_change& change,
                       absl::Duration /*timeout*/,
@@ -216,6 +248,9 @@
                 outcome.m_applied = apply(change);
                 outcome.m_at = at();
                 outcome.m_version = rpc::row_version(m_platform.m_version);
+                outcome.m_era = rpc::store_era(m_platform.m_era);
+                if (!outcome.m_applied)
+                    outcome.m_rows = expected_rows(change);
                 if (m_change_answers_lost)
                     done(base::fail(base::error_code::deadline_exceeded,
                                     "no answer"));
@@ -275,11 +310,55 @@
         return all;
     }
 
+    // The store does not have the history up to this version.
+    [[nodiscard]] bool has_lost(rpc::row_version version) const
+    {
+        return version > rpc::row_version(m_platform.m_version);
+    }
+
+    // Answers that the history is gone.
+    template <typename Row>
+    void refuse(callback<rpc::changes<Row>> done)
+    {
+        m_calls.emplace_back(
+            [this, done = std::move(done)]
+            {
+                done(base::fail(m_reachable
+                                    ? base::error_code::not_found
+                                    : base::error_code::deadline_exceeded,
+                                "no answer"));
+            });
+    }
+
+    void read_changed_configuration(
+        rpc::row_version version, absl::Duration timeout,
+        callback<rpc::changes<rpc::configuration_ptr>> done)
+    {
+        if (has_lost(version))
+            refuse(std::move(done));
+        else if (m_platform.m_configuration_version > version)
+            read_configuration(timeout, std::move(done));
+        else
+            finish(std::move(done), rpc::changes<rpc::configuration_ptr>());
+    }
+
+    [[nodiscard]] std::vector<rpc::fleet_row>
+    expected_rows(const rpc::fleet_change& change) const
+    {
+        std::vector<rpc::fleet_row> rows;
+        for (const auto& [key, version] : change.m_expected)
+            if (const auto found = m_platform.m_rows.find(key);
+                found != m_platform.m_rows.end())
+                rows.push_back(found->second);
+        return rows;
+    }
+
     template <typename Row>
     void finish(callback<rpc::changes<Row>> done, rpc::changes<Row> all)
     {
         all.m_version = rpc::row_version(m_platform.m_version);
         all.m_at = at();
+        all.m_era = rpc::store_era(m_platform.m_era);
         m_calls.emplace_back(
             [this, done = std::move(done), all = std::move(all)]
             {
@@ -323,12 +402,11 @@
     }
 
     void promote(const base::group_id& /*group*/,
-                 const base::endpoint_id& endpoint,
-                 const base::host_id& /*holder*/, fencing_token token,
-                 absl::Duration /*timeout*/,
+                 const base::endpoint_id& endpoint, const base::host_id& holder,
+                 fencing_token token, absl::Duration /*timeout*/,
                  std::function<void(base::result<bool>)> done) override
     {
-        m_platform.m_promoted.emplace_back(endpoint, token);
+        m_platform.m_promoted.push_back({endpoint, token, holder});
         m_done.push_back(std::move(done));
     }
     void run()
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "driver.hpp"
+#include "failover.hpp"
 
 #include <criterion/criterion.h>
 
@@ -6,73 +6,6 @@
 using rpc::statement_error;
 using rpc::statement_kind;
 
-namespace
-{
-
-// True when the host sends a write to an endpoint.
-bool uses_primary(fleet_fixture& f, std::size_t index, std::uint64_t session)
-{
-    driver caller(f.host(index));
-    caller.start(session, "settle");
-    caller.say(session, statement_kind::write, "WRITE a b");
-    const auto request = caller.next_statement();
-    if (!request)
-        return false;
-    caller.succeed(*request);
-    return true;
-}
-
-// The primary's process ends: connections to it are refused.
-void crash_primary(fleet_fixture& f)
-{
-    for (auto& host : f.m_hosts)
-    {
-        const auto open = host->m_endpoints.m_open;
-        for (const auto& [number, target] : open)
-            if (target.m_endpoint == base::endpoint_id("e0"))
-                host->m_host.endpoints().connection_closed(number, true);
-    }
-}
-
-// Lets time pass while endpoints other than e0 answer reports and connections.
-void run_without_primary(fleet_fixture& f, absl::Duration span)
-{
-    for (absl::Duration passed; passed < span; passed += absl::Milliseconds(50))
-    {
-        f.run(absl::Milliseconds(50));
-        for (auto& host : f.m_hosts)
-        {
-            driver endpoints(*host);
-            auto opening = std::exchange(host->m_endpoints.m_opening, {});
-            for (const auto number : opening)
-            {
-                const auto target = host->m_endpoints.m_open.find(number);
-                if (target == host->m_endpoints.m_open.end())
-                    continue;
-                if (target->second.m_endpoint == base::endpoint_id("e0"))
-                    host->m_host.endpoints().connection_closed(number, true);
-                else
-                    host->m_host.endpoints().opened(number, point(1, 90));
-            }
-            while (const auto request = endpoints.next())
-            {
-                rpc::endpoint_report report;
-                const auto name = endpoints.endpoint_of(*request);
-                const auto& promoted = f.m_platform.m_promoted;
-                report.m_primary =
-                    !promoted.empty() && promoted.back().first.str() == name;
-                report.m_term = base::term(promoted.empty() ? 1 : 2);
-                report.m_received = point(1, name == "e1" ? 95 : 90);
-                host->m_host.endpoints().report_received(request->m_connection,
-                                                         report);
-                endpoints.succeed(*request);
-            }
-        }
-    }
-}
-
-} // namespace
-
 Test(fleet, every_host_uses_the_initial_primary)
 {
     fleet_fixture f;
@@ -112,10 +45,11 @@
     fleet_fixture f;
     for (std::size_t host = 0; host < 3; ++host)
         uses_primary(f, host, 1);
-    crash_primary(f);
-    run_without_primary(f, absl::Seconds(2));
+    fake_group group;
+    group.crash_primary(f);
+    group.run(f, absl::Seconds(2));
     cr_assert_geq(f.m_platform.m_promoted.size(), 1);
-    cr_assert_eq(f.m_platform.m_promoted.front().first.str(), "e1");
+    cr_assert_eq(f.m_platform.m_promoted.front().m_endpoint.str(), "e1");
     for (const auto& row : f.m_platform.m_rows)
         if (row.first == "group/g")
             cr_assert_neq(row.second.m_value.find("serving"),
@@ -129,10 +63,11 @@
         uses_primary(f, host, 1);
     f.host(2).m_store.m_reachable = false;
     f.host(2).m_heard = false;
-    crash_primary(f);
+    fake_group group;
+    group.crash_primary(f);
     for (int step = 0; step < 200; ++step)
     {
-        run_without_primary(f, absl::Milliseconds(50));
+        group.run(f, absl::Milliseconds(50));
         if (f.m_platform.m_promoted.empty())
             continue;
         cr_assert_not(f.host(2).m_host.primary(base::group_id("g")).has_value(),
@@ -150,8 +85,9 @@
     for (std::size_t host = 0; host < 3; ++host)
         uses_primary(f, host, 1);
     f.host(2).m_store.m_reachable = false;
-    crash_primary(f);
-    run_without_primary(f, absl::Seconds(2));
+    fake_group group;
+    group.crash_primary(f);
+    group.run(f, absl::Seconds(2));
     cr_assert_geq(f.m_platform.m_promoted.size(), 1);
 }
 
@@ -166,8 +102,9 @@
         f.host(host).m_store.m_watch_silent = true;
     }
     f.run(absl::Milliseconds(200));
-    crash_primary(f);
-    run_without_primary(f, absl::Milliseconds(1200));
+    fake_group group;
+    group.crash_primary(f);
+    group.run(f, absl::Milliseconds(1200));
     cr_assert_geq(f.m_platform.m_promoted.size(), 1);
 }
 
@@ -176,10 +113,11 @@
     fleet_fixture f;
     for (std::size_t host = 0; host < 3; ++host)
         uses_primary(f, host, 1);
-    crash_primary(f);
-    run_without_primary(f, absl::Seconds(3));
-    for (const auto& [endpoint, token] : f.m_platform.m_promoted)
-        cr_assert_eq(token, f.m_platform.m_promoted.front().second);
+    fake_group group;
+    group.crash_primary(f);
+    group.run(f, absl::Seconds(3));
+    for (const auto& asked : f.m_platform.m_promoted)
+        cr_assert_eq(asked.m_token, f.m_platform.m_promoted.front().m_token);
 }
 
 Test(fleet, a_draining_host_takes_no_new_sessions_and_closes_idle_ones)
