Read everything anew when the store comes back from an older copy

A configuration that was acknowledged right before the store went away, and written again below a version that the hosts had seen, was in force nowhere until the next one.

Cause: a watch went on from a version of the era before. While the store was still short of it the answer was 410 and everything was read; once the version had been given out again the answer was 200 and left out what lay below.

Change: the follower follows the era of each answer. With a new era it forgets its versions and reads all; an answer of an older era, and a watch that was asked in one, count for nothing.

Ruled out: a comparison of versions alone (a version that went back): it misses exactly the case in which the version has been passed again.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -170,9 +170,10 @@
     [[nodiscard]] absl::Duration watch_wait() const;
     [[nodiscard]] absl::Duration confirm_after() const;
     void started(lane& what);
-    // Notes which era of the store an answer is of, and its newest version.
-    void note_era(rpc::store_era era, rpc::row_version version,
-                  rpc::store_instant at);
+    // Follows the store into a new era, of which this host has read nothing
+    // yet. False when the answer is of an era before.
+    bool follow_era(rpc::store_era era, rpc::row_version version,
+                    rpc::store_instant at, base::instant now);
     // Notes a watch that asked for history which the store does not have.
     void note_history_gone(const lane& what, rpc::row_version version);
     // True when the call succeeded.
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -70,13 +70,13 @@
     return false;
 }
 
-void fleet_follower::note_era(rpc::store_era era, rpc::row_version version,
-                              rpc::store_instant at)
+bool fleet_follower::follow_era(rpc::store_era era, rpc::row_version version,
+                                rpc::store_instant at, base::instant now)
 {
     if (m_era && era < *m_era)
     {
         m_metrics.counter("store.outdated_answers").add();
-        return;
+        return false;
     }
     if (m_era && era > *m_era)
     {
@@ -86,9 +86,15 @@
                                          {"version_before", m_newest_version},
                                          {"at_ms", at}});
         m_newest_version = {};
+        m_configuration_row = {};
+        m_fleet_version.reset();
+        m_newest_row = {};
+        // Entries that lapsed meanwhile are back within the same time.
+        m_healthy_since = now;
     }
     m_era = era;
     m_newest_version = std::max(m_newest_version, version);
+    return true;
 }
 
 void fleet_follower::note_history_gone(const lane& what,
@@ -101,8 +107,9 @@
 void fleet_follower::ask_configuration(base::instant /*now*/)
 {
     started(m_configuration);
-    auto done =
-        [this](base::result<rpc::changes<rpc::configuration_ptr>> result)
+    const bool whole = m_configuration_row.value() == 0;
+    auto done = [this, whole, asked = m_era](
+                    base::result<rpc::changes<rpc::configuration_ptr>> result)
     {
         const auto now = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
@@ -111,10 +118,12 @@
             m_configuration_row = {};
         }
         if (ended(m_configuration, result.has_value(),
-                  result ? "" : result.error().m_message, now))
+                  result ? "" : result.error().m_message, now) &&
+            follow_era(result->m_era, result->m_version, result->m_at, now) &&
+            (whole || asked == m_era))
             take_configuration(*result, now);
     };
-    if (m_configuration_row.value() == 0)
+    if (whole)
         m_store.read_configuration(m_options.m_call_timeout, std::move(done));
     else
         m_store.watch_configuration(m_configuration_row, watch_wait(),
@@ -125,7 +134,6 @@
 void fleet_follower::take_configuration(
     const rpc::changes<rpc::configuration_ptr>& change, base::instant now)
 {
-    note_era(change.m_era, change.m_version, change.m_at);
     m_configuration_row = std::max(m_configuration_row, change.m_version);
     if (change.m_rows.empty() && !has_configuration())
         m_configuration.m_next = now + absl::Milliseconds(200);
@@ -160,7 +168,9 @@
             if (!ended(m_endpoints, result.has_value(),
                        result ? "" : result.error().m_message, received))
                 return;
-            note_era(result->m_era, result->m_version, result->m_at);
+            if (!follow_era(result->m_era, result->m_version, result->m_at,
+                            received))
+                return;
             m_endpoints_at = received;
             if (m_has_endpoints &&
                 received - m_healthy_since < m_options.m_lapse_grace)
@@ -222,8 +232,9 @@
 void fleet_follower::ask_fleet(base::instant now)
 {
     started(m_fleet);
-    auto done =
-        [this, sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
+    const bool whole = !m_fleet_version;
+    auto done = [this, whole, asked = m_era,
+                 sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
     {
         const auto received = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
@@ -233,10 +244,13 @@
             m_fleet_version.reset();
         }
         if (ended(m_fleet, result.has_value(),
-                  result ? "" : result.error().m_message, received))
+                  result ? "" : result.error().m_message, received) &&
+            follow_era(result->m_era, result->m_version, result->m_at,
+                       received) &&
+            (whole || asked == m_era))
             take_fleet(*result, sent, received);
     };
-    if (!m_fleet_version)
+    if (whole)
         m_store.read_fleet(m_options.m_call_timeout, std::move(done));
     else
         m_store.watch_fleet(*m_fleet_version, watch_wait(),
@@ -271,7 +285,8 @@
     started(m_refresh);
     m_store.read_fleet_changes(
         *m_fleet_version, m_options.m_call_timeout,
-        [this, sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
+        [this, asked = m_era,
+         sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
         {
             const auto received = m_clock.now();
             if (!result && result.error().m_code == base::error_code::not_found)
@@ -281,7 +296,10 @@
                 m_fleet_version.reset();
             }
             if (ended(m_refresh, result.has_value(),
-                      result ? "" : result.error().m_message, received))
+                      result ? "" : result.error().m_message, received) &&
+                follow_era(result->m_era, result->m_version, result->m_at,
+                           received) &&
+                asked == m_era)
                 take_fleet(*result, sent, received);
         });
 }
@@ -305,7 +323,9 @@
         {
             const auto received = m_clock.now();
             if (ended(m_catch_up, result.has_value(),
-                      result ? "" : result.error().m_message, received))
+                      result ? "" : result.error().m_message, received) &&
+                follow_era(result->m_era, result->m_version, result->m_at,
+                           received))
                 take_configuration(*result, received);
             m_catch_up.m_next =
                 received + (is_large_fleet() ? m_options.m_large_catch_up_pause
@@ -316,7 +336,6 @@
 void fleet_follower::take_fleet(const rpc::changes<rpc::fleet_row>& change,
                                 base::instant sent, base::instant now)
 {
-    note_era(change.m_era, change.m_version, change.m_at);
     if (!m_fleet_version)
         m_rows_known_at = now;
     m_fleet_version = m_fleet_version
