Take a newer configuration from a peer when the store lacks it

A host that started right after the store had come back put the copy's older configuration in force and kept it until the operator's was written again, though its peers had the newer one.

Cause: in a small fleet a host that is behind only reads the store again.

Ruled out: asking at once; each change would cost a datagram from every host, though the watch brings it within milliseconds.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -343,6 +343,8 @@
     rpc::row_version m_duty_version;
     rpc::configuration_ptr m_configuration;
     std::optional<base::instant> m_configuration_asked;
+    // The newest configuration that a peer has told, and when it did first.
+    base::instant m_newest_configuration_at;
     base::configuration_version m_newest_configuration;
     // Until when the rows of members may be relied on as well. Only that may be
     // told others: a host that does not know that another one is marked as out
--- a/lib/entry/fleet_relays.cpp
+++ b/lib/entry/fleet_relays.cpp
@@ -53,12 +53,15 @@
                            : base::configuration_version();
 }
 
-// In a small fleet each host's watch has it at the same time.
+// In a small fleet each host's watch has it at the same time. A peer is asked
+// there by a host that is still behind after a while: the store may have come
+// back from a copy that lacks the configuration.
 void fleet_service::ask_configuration(const fleet::host_report& report,
                                       base::instant now)
 {
-    if (!m_homes.is_large_fleet() ||
-        report.m_configuration <= configuration_version() ||
+    if (report.m_configuration <= configuration_version() ||
+        (!m_homes.is_large_fleet() && now - m_newest_configuration_at <
+                                          m_options.m_configuration_interval) ||
         (m_configuration_asked &&
          now - *m_configuration_asked < m_options.m_configuration_interval))
         return;
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -254,8 +254,11 @@
         m_demand.ended(host);
     else
         m_demand.reported(host, taken.m_demand);
-    m_newest_configuration =
-        std::max(m_newest_configuration, taken.m_configuration);
+    if (taken.m_configuration > m_newest_configuration)
+    {
+        m_newest_configuration = taken.m_configuration;
+        m_newest_configuration_at = now;
+    }
     ask_configuration(taken, now);
     take_rows(taken, now);
     pass_members_on(*m_members.find(host), now);
