Write again what the store has lost; rely on nothing of it before

Cause: rows of the fleet were ordered by the store's version alone, and a row that was known was never missed. After a return known rows carried versions that the store does not have, so claims failed for good, and lower versions of the new era were ignored while the answers still confirmed what was known.

Change, in the design: versions count within an era only. When the era rises a host forgets all versions and keeps the rows; fleet::row_recovery orders states of a row by content, and the later ones are written again by whoever is first. A row of the fleet's own names the era; every change expects it, so a change asked for before a return is not carried out after it. The store's answers and peers' reports confirm rows once 2 s (3 s in a large fleet) have passed since that row and nothing remembered is missing; until then the confirmation of the era before runs on, which keeps primaries in use through a short return. Reports and rows passed on tell their era; another era's count for nothing and send the host to the store. A replacement under way is begun anew, as after a crash of its holder. A registration is known by its joining time, as its row's version changes when it is written again.

Ruled out: taking the store's rows as they are (brings back a primary that was replaced); an era inside each version number (hides the rule in arithmetic).

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -57,6 +57,9 @@
     // them.
     absl::Duration m_member_pause = absl::Milliseconds(300);
     absl::Duration m_large_pause = absl::Milliseconds(2000);
+    // Pause after a read of the rows that confirmed none, because they may be
+    // lacking what the store has lost.
+    absl::Duration m_unconfirmed_pause = absl::Milliseconds(200);
     // Pause after a read because a peer has a newer configuration.
     absl::Duration m_catch_up_pause = absl::Milliseconds(200);
     // In a large fleet the peer sends it; it is read when none has come by
@@ -89,6 +92,11 @@
     virtual void
     endpoints_read(const std::vector<catalogue::endpoint_entry>& endpoints,
                    rpc::store_instant at) = 0;
+    // All that follows is of this era of the store, and `at` is a time in it.
+    // It comes before the first rows, and again when the store has come back
+    // from an older copy; all rows follow then.
+    virtual void era_changed(rpc::store_era era, rpc::store_instant at,
+                             base::instant now) = 0;
     // `at` is a time of the store after the change.
     virtual void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                              base::instant now) = 0;
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -6,6 +6,7 @@
 #include "magnoliastack/fleet/endpoint_relay.hpp"
 #include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
+#include "magnoliastack/fleet/row_recovery.hpp"
 #include "magnoliastack/handover/promotion.hpp"
 #include "magnoliastack/lease/currency.hpp"
 #include "magnoliastack/lease/store_clock.hpp"
@@ -61,6 +62,16 @@
     // Rows that nobody has confirmed for this long were asked for at the store
     // in vain.
     absl::Duration m_isolated_after = absl::Milliseconds(2000);
+    // After a return of the store all hosts have this long to write again what
+    // it has lost; until then its answers confirm no rows.
+    absl::Duration m_settling = absl::Milliseconds(2000);
+    // The same in a large fleet, whose hosts come back to the store later.
+    absl::Duration m_large_settling = absl::Milliseconds(3000);
+    // In a large fleet hosts write lost rows again one after the other, so that
+    // most of them find nothing left to do.
+    absl::Duration m_recovery_turn = absl::Milliseconds(150);
+    // Rows of one change; the store takes 100 entries.
+    std::size_t m_largest_recovery = 90;
     lease::currency_options m_currency;
     fleet::member_options m_members;
     handover::promotion_options m_promotion;
@@ -160,6 +171,8 @@
 
     void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints);
+    void era_changed(rpc::store_era era, rpc::store_instant at,
+                     base::instant now);
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now);
     void rows_confirmed(rpc::row_version version, rpc::store_instant at,
@@ -242,6 +255,13 @@
     using group_item = std::pair<const base::group_id, group_leadership>;
 
     [[nodiscard]] bool is_current(base::instant now) const;
+    void remember_rows();
+    void restore_rows(base::instant now);
+    [[nodiscard]] bool is_era_known() const;
+    [[nodiscard]] bool is_settled(base::instant now) const;
+    [[nodiscard]] bool is_of_era(const fleet::host_report& report) const;
+    bool accepts(const std::string& key, const std::string& value,
+                 rpc::row_version version);
     static void set_entries(group_leadership& group,
                             std::vector<catalogue::endpoint_entry> entries);
     static void update_leader_stays(group_leadership& group);
@@ -257,7 +277,7 @@
     void mark_silent(base::instant now);
     void change_members(const rpc::fleet_change& change,
                         std::function<void()> applied);
-    void change_rows(const rpc::fleet_change& change, absl::Duration timeout,
+    void change_rows(rpc::fleet_change change, absl::Duration timeout,
                      rpc::fleet_store::callback<rpc::change_outcome> done);
     void take_member(const fleet::member_row& row, rpc::row_version version,
                      rpc::store_instant at, base::instant now);
@@ -341,6 +361,17 @@
     std::map<base::group_id, group_leadership> m_groups;
     std::optional<fleet::duty_row> m_duty;
     rpc::row_version m_duty_version;
+    // Era of the store that this host's rows and their versions are of.
+    std::optional<rpc::store_era> m_era;
+    std::optional<fleet::era_row> m_era_row;
+    rpc::row_version m_era_version;
+    fleet::row_recovery m_recovery;
+    // All rows of the era have been read, and from when on what is lost is
+    // written again.
+    bool m_era_read = false;
+    base::instant m_recover_at;
+    // A peer follows a newer era.
+    bool m_era_missing = false;
     rpc::configuration_ptr m_configuration;
     std::optional<base::instant> m_configuration_asked;
     // The newest configuration that a peer has told, and when it did first.
--- a/include/magnoliastack/fleet/members.hpp
+++ b/include/magnoliastack/fleet/members.hpp
@@ -72,6 +72,9 @@
     // `at` is a time of the store after the change.
     void row_changed(const member_row& row, rpc::row_version version,
                      rpc::store_instant at, base::instant now);
+    // The store has come back from an older copy: the rows stay, but no version
+    // means anything any more.
+    void versions_lost();
     // All rows up to this version are known now.
     void rows_complete(rpc::row_version version);
     // False when a newer report is known or the host has no such row.
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -50,6 +50,9 @@
     bool m_leaving = false;
     bool m_store_reachable = false;
     base::configuration_version m_configuration;
+    // Era of the store that all versions of the report are of.
+    rpc::store_era m_era;
+    // 0 while the host may lack rows that the store has lost.
     rpc::store_instant m_confirmed_at;
     // Highest version of a member's row that the host knows, with all before.
     rpc::row_version m_members_version;
@@ -75,6 +78,8 @@
         rpc::row_version m_version;
     };
 
+    // Era of the store that all versions are of.
+    rpc::store_era m_era;
     // The rows follow this version, and all up to m_complete are among them.
     rpc::row_version m_after;
     rpc::row_version m_complete;
--- a/include/magnoliastack/fleet/rows.hpp
+++ b/include/magnoliastack/fleet/rows.hpp
@@ -67,14 +67,28 @@
     rpc::store_instant m_until;
 };
 
+// The era of the store that the fleet's rows are of. Every change of rows
+// expects this one, so a change that was asked for before a return is not
+// carried out after it, even when its other rows have the expected versions by
+// chance.
+struct era_row
+{
+    rpc::store_era m_era;
+    // A time of the store after the era's beginning; 0 when there was no row of
+    // the fleet before.
+    rpc::store_instant m_since;
+};
+
 std::string member_key(const base::host_id& host);
 bool is_member_key(std::string_view key);
 std::string leadership_key(const base::group_id& group);
 inline const std::string duty_key = "duty";
+inline const std::string era_key = "era";
 
 std::string encode(const member_row& row);
 std::string encode(const leadership_row& row);
 std::string encode(const duty_row& row);
+std::string encode(const era_row& row);
 
 // Each is none when the row is of another kind, and `corrupt` when it cannot
 // be read.
@@ -83,6 +97,7 @@
 base::result<std::optional<leadership_row>>
 decode_leadership(const rpc::fleet_row& row);
 base::result<std::optional<duty_row>> decode_duty(const rpc::fleet_row& row);
+base::result<std::optional<era_row>> decode_era(const rpc::fleet_row& row);
 
 } // namespace magnoliastack::fleet
 
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -92,6 +92,8 @@
         // Entries that lapsed meanwhile are back within the same time.
         m_healthy_since = now;
     }
+    if (m_era != era)
+        m_events.era_changed(era, at, now);
     m_era = era;
     m_newest_version = std::max(m_newest_version, version);
     return true;
@@ -325,6 +327,8 @@
                            received) &&
                 asked == m_era)
                 take_fleet(*result, sent, received);
+            m_refresh.m_next = std::max(
+                m_refresh.m_next, received + m_options.m_unconfirmed_pause);
         });
 }
 
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -13,7 +13,7 @@
 void fleet_service::replace_primary(const base::group_id& id,
                                     group_leadership& group, base::instant now)
 {
-    if (!is_current(now))
+    if (!is_current(now) || !is_settled(now))
         return;
     const need why = assess(id, group, now);
     if (why == need::none && group.m_promotion->is_idle())
@@ -191,8 +191,11 @@
             m_links.m_metrics.counter("store.calls.leadership").add();
             change_rows(
                 change->m_change, m_options.m_promotion.m_change_timeout,
-                [this, id](const base::result<rpc::change_outcome>& result)
+                [this, id,
+                 era = m_era](const base::result<rpc::change_outcome>& result)
                 {
+                    if (era != m_era)
+                        return;
                     if (!result)
                         m_log.warning("leadership_change_failed",
                                       {{"group", id},
--- /dev/null
+++ b/lib/entry/fleet_recovery.cpp
@@ -0,0 +1,128 @@
+// What this host does when the store has come back from an older copy.
+#include "magnoliastack/entry/fleet_service.hpp"
+
+#include <algorithm>
+
+namespace magnoliastack::entry
+{
+
+// What is known stays in force: until the store has all of it again, this host
+// goes by it for as long as it had been confirmed.
+void fleet_service::era_changed(rpc::store_era era, rpc::store_instant at,
+                                base::instant now)
+{
+    const bool is_return = m_era.has_value();
+    m_era = era;
+    m_era_row.reset();
+    m_era_version = {};
+    m_era_read = false;
+    m_era_missing = false;
+    m_recover_at = now;
+    if (!is_return)
+        return;
+    remember_rows();
+    if (m_homes.is_large_fleet())
+        m_recover_at = now + m_options.m_recovery_turn *
+                                 static_cast<double>(std::min(
+                                     m_reading_place, m_options.m_judges));
+    m_log.warning(
+        "rows_to_recover",
+        {{"era", era}, {"at_ms", at}, {"members", m_members.all().size()}});
+}
+
+void fleet_service::remember_rows()
+{
+    m_recovery = {};
+    for (const auto& [host, item] : m_members.all())
+        m_recovery.remember(
+            {fleet::member_key(host), fleet::encode(item.m_row), {}});
+    m_members.versions_lost();
+    if (m_duty)
+        m_recovery.remember({fleet::duty_key, fleet::encode(*m_duty), {}});
+    m_duty_version = {};
+    for (auto& [id, group] : m_groups)
+    {
+        if (group.m_row)
+            m_recovery.remember(
+                {fleet::leadership_key(id), fleet::encode(*group.m_row), {}});
+        group.m_version = {};
+        group.m_followed = {};
+        group.m_needed_since.reset();
+        // Its claim may be lost. What it had under way is found by whoever
+        // claims the group next, as after a crash of this host.
+        group.m_promotion = std::make_unique<handover::promotion>(
+            id, m_options.m_self, m_options.m_incarnation,
+            m_options.m_promotion);
+    }
+    m_leaderships_version = {};
+    m_row_missing = false;
+    m_member_change_running = false;
+}
+
+bool fleet_service::is_era_known() const
+{
+    return m_era_row && m_era_row->m_era == *m_era;
+}
+
+bool fleet_service::is_of_era(const fleet::host_report& report) const
+{
+    return m_era && report.m_era == *m_era;
+}
+
+// False when this host remembers a later state of the row.
+bool fleet_service::accepts(const std::string& key, const std::string& value,
+                            rpc::row_version version)
+{
+    return m_recovery.is_empty() || m_recovery.take({key, value, version});
+}
+
+// True once all hosts that reach the store have had the time to write again
+// what it has lost: its answers confirm the rows from then on.
+bool fleet_service::is_settled(base::instant now) const
+{
+    if (!m_era_read || !is_era_known() || !m_recovery.is_empty())
+        return false;
+    if (m_era_row->m_since.value() == 0)
+        return true;
+    const auto earliest = m_store_clock.earliest(now);
+    const absl::Duration wait = m_homes.is_large_fleet()
+                                    ? m_options.m_large_settling
+                                    : m_options.m_settling;
+    return earliest &&
+           absl::Milliseconds(earliest->value()) >=
+               absl::Milliseconds(m_era_row->m_since.value()) + wait;
+}
+
+// Writes the row of the era and what the store has lost. Any host may be the
+// first; the others learn it from the refusal of their change.
+void fleet_service::restore_rows(base::instant now)
+{
+    const auto latest = m_store_clock.latest(now);
+    if (!m_era_read || !latest || m_member_change_running ||
+        now < m_recover_at || (is_era_known() && m_recovery.is_empty()))
+        return;
+    rpc::fleet_change change;
+    m_recovery.add_to(change, m_options.m_largest_recovery);
+    const std::size_t lost = change.m_writes.size();
+    if (!is_era_known())
+    {
+        const bool is_first_start =
+            lost == 0 && m_members.all().empty() && !m_duty &&
+            std::none_of(m_groups.begin(), m_groups.end(),
+                         [](const auto& item)
+                         {
+                             return item.second.m_row.has_value();
+                         });
+        const fleet::era_row row{*m_era, is_first_start ? rpc::store_instant()
+                                                        : *latest};
+        change.m_writes.emplace_back(fleet::era_key, fleet::encode(row));
+    }
+    if (lost > 0)
+    {
+        m_log.warning("rows_lost", {{"era", *m_era}, {"rows", lost}});
+        m_links.m_metrics.counter("rows.recovered").add(lost);
+    }
+    change_members(change, {});
+}
+
+} // namespace magnoliastack::entry
--- a/lib/entry/fleet_relays.cpp
+++ b/lib/entry/fleet_relays.cpp
@@ -12,7 +12,7 @@
                                  base::instant now)
 {
     const auto changed_by = m_store_clock.latest(now);
-    if (!changed_by)
+    if (!changed_by || !m_era || update.m_era != *m_era)
         return;
     for (const auto& item : update.m_rows)
         take_member(item.m_row, item.m_version, *changed_by, now);
@@ -93,11 +93,12 @@
         to.m_report->m_store_reachable &&
         !(m_homes.is_large_fleet() &&
           to.m_row.m_failure_domain == m_options.m_failure_domain);
-    if (to.m_row.m_out_since || follows)
+    if (to.m_row.m_out_since || follows || !is_of_era(*to.m_report))
         return;
-    const auto update = m_relay.next(m_members, to, now);
+    auto update = m_relay.next(m_members, to, now);
     if (!update)
         return;
+    update->m_era = *m_era;
     m_links.m_metrics.counter("members.passed_on").add(update->m_rows.size());
     m_links.m_datagrams.send(to.m_row.m_address, fleet::encode(*update));
 }
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -17,7 +17,9 @@
     report.m_leaving = m_leaving;
     report.m_store_reachable = m_store_reachable;
     report.m_configuration = configuration_version();
-    report.m_confirmed_at = m_all_rows.confirmed_at();
+    report.m_era = m_era.value_or(rpc::store_era());
+    if (is_settled(now))
+        report.m_confirmed_at = m_all_rows.confirmed_at();
     report.m_members_version = m_members.complete_version();
     report.m_endpoints_digest = m_endpoints.digest();
     report.m_endpoints_read_at = m_endpoints.read_at();
@@ -280,6 +282,11 @@
 void fleet_service::take_rows(const fleet::host_report& report,
                               base::instant now)
 {
+    if (!is_of_era(report))
+    {
+        m_era_missing |= m_era && report.m_era > *m_era;
+        return;
+    }
     // The row has changed by now; the sender may know it from another host.
     const auto changed_by =
         m_store_clock.latest(now).value_or(report.m_confirmed_at);
@@ -289,7 +296,7 @@
     if (report.m_leaderships_after <= m_leaderships_version)
         leaderships_complete(report.m_leaderships_version);
     m_row_missing = report.m_leaderships_version > m_leaderships_version;
-    if (m_row_missing)
+    if (m_row_missing || !is_settled(now))
         return;
     m_currency.confirmed(report.m_confirmed_at);
     if (report.m_members_version <= m_members.complete_version())
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -23,6 +23,7 @@
     m_store_reachable = store_reachable;
     if (m_leaving)
         return;
+    restore_rows(now);
     register_self(now);
     mark_silent(now);
     update_homes(now);
@@ -103,7 +104,8 @@
     const auto member = fleet::decode_member(row);
     const auto leadership = fleet::decode_leadership(row);
     const auto duty = fleet::decode_duty(row);
-    if (!member || !leadership || !duty)
+    const auto era = fleet::decode_era(row);
+    if (!member || !leadership || !duty || !era)
     {
         m_log.error("row_unreadable",
                     {{"key", row.m_key}, {"version", row.m_version}});
@@ -111,7 +113,13 @@
     }
     if (*member)
         take_member(**member, row.m_version, at, now);
-    if (*duty && row.m_version > m_duty_version)
+    if (*era && row.m_version > m_era_version)
+    {
+        m_era_row = **era;
+        m_era_version = row.m_version;
+    }
+    if (*duty && row.m_version > m_duty_version &&
+        accepts(row.m_key, row.m_value, row.m_version))
     {
         m_duty = **duty;
         m_duty_version = row.m_version;
@@ -125,7 +133,8 @@
                                 base::instant now)
 {
     const fleet::member* known = m_members.find(row.m_host);
-    if (known != nullptr && known->m_version >= version)
+    if ((known != nullptr && known->m_version >= version) ||
+        !accepts(fleet::member_key(row.m_host), fleet::encode(row), version))
         return;
     if (known != nullptr && known->m_row.m_incarnation != row.m_incarnation)
         m_demand.ended(row.m_host);
@@ -146,7 +155,9 @@
                                     rpc::store_instant at, base::instant now)
 {
     group_leadership& group = find(row.m_group);
-    if (version <= group.m_version)
+    if (version <= group.m_version ||
+        !accepts(fleet::leadership_key(row.m_group), fleet::encode(row),
+                 version))
         return;
     group.m_row = row;
     group.m_version = version;
@@ -169,12 +180,16 @@
                                    base::instant now)
 {
     m_rows_known = true;
+    m_era_read = true;
     m_store_clock.answered(at, sent, now);
     m_members.rows_complete(version);
     leaderships_complete(version);
-    m_currency.confirmed(at);
-    m_all_rows.confirmed(at);
     m_row_missing = false;
+    if (is_settled(now))
+    {
+        m_currency.confirmed(at);
+        m_all_rows.confirmed(at);
+    }
     follow_leadership(now);
 }
 
@@ -250,7 +265,7 @@
 absl::Duration fleet_service::confirmed_age(base::instant now) const
 {
     const auto latest = m_store_clock.latest(now);
-    if (!latest || m_row_missing)
+    if (!latest || m_row_missing || m_era_missing)
         return absl::InfiniteDuration();
     return absl::Milliseconds(latest->value()) -
            absl::Milliseconds(m_currency.confirmed_at().value());
@@ -304,7 +319,8 @@
     quota::share_view view;
     view.m_hosts = 0;
     if (m_members.is_registered())
-        view.m_registration = m_members.own_version().value();
+        view.m_registration =
+            m_members.find(m_options.m_self)->m_row.m_member_since.value();
     view.m_current = are_all_rows_current(now);
     view.m_counted =
         m_registered_at && m_all_rows.confirmed_at() >= *m_registered_at;
@@ -327,7 +343,9 @@
 bool fleet_service::counts_self(const fleet::member& host,
                                 base::instant now) const
 {
-    return m_members.knows_own_row(host) ||
+    return (host.m_report && is_of_era(*host.m_report) &&
+            m_members.own_version().value() != 0 &&
+            m_members.knows_own_row(host)) ||
            (m_registered_at &&
             m_all_rows.has_lapsed_since(*m_registered_at, m_store_clock, now));
 }
@@ -335,8 +353,8 @@
 void fleet_service::register_self(base::instant now)
 {
     const auto latest = m_store_clock.latest(now);
-    if (!m_rows_known || !latest || m_members.is_registered() ||
-        m_member_change_running)
+    if (!m_rows_known || !is_era_known() || !latest ||
+        m_members.is_registered() || m_member_change_running)
         return;
     fleet::member_row row;
     row.m_host = m_options.m_self;
@@ -348,8 +366,9 @@
     const fleet::member* before = m_members.find(m_options.m_self);
     const bool stays = before != nullptr && !before->m_row.m_out_since;
     row.m_member_since = stays ? before->m_row.m_member_since : *latest;
-    const bool resumes = stays && m_all_rows.has_lapsed_since(
-                                      row.m_member_since, m_store_clock, now);
+    const bool resumes =
+        stays && is_settled(now) &&
+        m_all_rows.has_lapsed_since(row.m_member_since, m_store_clock, now);
     change_members(
         {{{key, m_members.own_version()}}, {{key, fleet::encode(row)}}},
         [this, resumes]
@@ -366,7 +385,7 @@
 
 void fleet_service::mark_silent(base::instant now)
 {
-    if (!is_current(now) || m_member_change_running)
+    if (!is_current(now) || !is_settled(now) || m_member_change_running)
         return;
     const auto silent = m_members.to_mark(now);
     const auto latest = m_store_clock.latest(now);
@@ -386,9 +405,11 @@
     m_member_change_running = true;
     m_links.m_metrics.counter("store.calls.member").add();
     change_rows(change, m_options.m_change_timeout,
-                [this, applied = std::move(applied)](
+                [this, era = m_era, applied = std::move(applied)](
                     const base::result<rpc::change_outcome>& result)
                 {
+                    if (era != m_era)
+                        return;
                     m_member_change_running = false;
                     if (result && result->m_applied && applied)
                         applied();
@@ -398,17 +419,25 @@
                 });
 }
 
-// An applied change is known from its answer: a watch may be silent.
+// An applied change is known from its answer: a watch may be silent. An answer
+// of another era than the change was asked for in tells nothing.
 void fleet_service::change_rows(
-    const rpc::fleet_change& change, absl::Duration timeout,
+    rpc::fleet_change change, absl::Duration timeout,
     rpc::fleet_store::callback<rpc::change_outcome> done)
 {
+    change.m_expected.emplace_back(fleet::era_key, m_era_version);
     m_links.m_store.change_fleet(
         change, timeout,
-        [this, change, done = std::move(done)](
-            const base::result<rpc::change_outcome>& result)
+        [this, change, era = m_era,
+         done = std::move(done)](base::result<rpc::change_outcome> result)
         {
             const auto now = m_links.m_clock.now();
+            if (result && (result->m_era != *era || era != m_era))
+            {
+                m_era_missing |= result->m_era > *m_era;
+                result = base::fail(base::error_code::deadline_exceeded,
+                                    "the store has come back meanwhile");
+            }
             if (result && result->m_applied)
                 for (const auto& [key, value] : change.m_writes)
                     row_changed({key, value, result->m_version}, result->m_at,
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -169,6 +169,12 @@
     m_follower.endpoints_told(std::move(endpoints), at, now);
 }
 
+void host::era_changed(rpc::store_era era, rpc::store_instant at,
+                       base::instant now)
+{
+    m_fleet.era_changed(era, at, now);
+}
+
 void host::row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                        base::instant now)
 {
--- a/lib/fleet/members.cpp
+++ b/lib/fleet/members.cpp
@@ -46,6 +46,13 @@
     count();
 }
 
+void member_book::versions_lost()
+{
+    for (auto& [host, item] : m_members)
+        item.m_version = {};
+    m_complete = {};
+}
+
 // A row that this host has changed itself may be newer than one that it has
 // not seen yet.
 void member_book::rows_complete(rpc::row_version version)
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -77,6 +77,7 @@
     to.m_store_reachable = from.getStoreReachable();
     to.m_configuration =
         base::configuration_version(from.getConfigurationVersion());
+    to.m_era = rpc::store_era(from.getStoreEra());
     to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
     to.m_members_version = rpc::row_version(from.getMembersVersion());
     to.m_endpoints_digest = from.getEndpointsDigest();
@@ -100,6 +101,7 @@
     root.setLeaving(report.m_leaving);
     root.setStoreReachable(report.m_store_reachable);
     root.setConfigurationVersion(report.m_configuration.value());
+    root.setStoreEra(report.m_era.value());
     root.setConfirmedAt(report.m_confirmed_at.value());
     root.setMembersVersion(report.m_members_version.value());
     root.setEndpointsDigest(report.m_endpoints_digest);
@@ -144,6 +146,7 @@
 
 void write(wire::MemberUpdate::Builder to, const member_update& from)
 {
+    to.setStoreEra(from.m_era.value());
     to.setAfter(from.m_after.value());
     to.setComplete(from.m_complete.value());
     auto members = to.initMembers(static_cast<unsigned>(from.m_rows.size()));
@@ -165,6 +168,7 @@
 member_update read(wire::MemberUpdate::Reader from)
 {
     member_update to;
+    to.m_era = rpc::store_era(from.getStoreEra());
     to.m_after = rpc::row_version(from.getAfter());
     to.m_complete = rpc::row_version(from.getComplete());
     for (const auto item : from.getMembers())
--- a/lib/fleet/rows.cpp
+++ b/lib/fleet/rows.cpp
@@ -104,6 +104,13 @@
     return object.dump();
 }
 
+std::string encode(const era_row& row)
+{
+    const json object = {{"era", row.m_era.value()},
+                         {"since_ms", row.m_since.value()}};
+    return object.dump();
+}
+
 base::result<std::optional<member_row>> decode_member(const rpc::fleet_row& row)
 {
     if (!row.m_key.starts_with(member_prefix))
@@ -170,4 +177,17 @@
     return std::make_optional(std::move(result));
 }
 
+base::result<std::optional<era_row>> decode_era(const rpc::fleet_row& row)
+{
+    if (row.m_key != era_key)
+        return std::optional<era_row>();
+    const json object = object_of(row, {{"era", true}, {"since_ms", true}});
+    if (object.is_discarded())
+        return unreadable(row);
+    era_row result;
+    result.m_era = number_of<rpc::store_era>(object, "era");
+    result.m_since = number_of<rpc::store_instant>(object, "since_ms");
+    return std::make_optional(result);
+}
+
 } // namespace magnoliastack::fleet
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -127,6 +127,8 @@
   after @0 :UInt64;
   complete @1 :UInt64;
   members @2 :List(Member);
+  # Era of the store that all versions are of.
+  storeEra @3 :UInt64;
 }
 
 struct GroupReport {
@@ -162,7 +164,7 @@
   # The host ends and relies on nothing any more.
   leaving @3 :Bool;
   # The store's time in milliseconds at which the rows were as the host knows
-  # them.
+  # them; 0 while the host may lack rows that the store has lost.
   confirmedAt @4 :UInt64;
   demands @5 :List(Demand);
   groups @6 :List(GroupReport);
@@ -181,4 +183,6 @@
   # and the version after which all of them are among the groups.
   leadershipsVersion @13 :UInt64;
   leadershipsAfter @14 :UInt64;
+  # Era of the store that all versions of the report are of.
+  storeEra @15 :UInt64;
 }
--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -69,6 +69,10 @@
                         rpc::store_instant /*at*/) override
     {
     }
+    void era_changed(rpc::store_era /*era*/, rpc::store_instant /*at*/,
+                     base::instant /*now*/) override
+    {
+    }
     void row_changed(const rpc::fleet_row& /*row*/, rpc::store_instant /*at*/,
                      base::instant /*now*/) override
     {
@@ -186,10 +190,10 @@
     cr_assert_not(is_token_used_twice(f.m_platform));
 }
 
-// A host had released the primary of a generation that was lost. Its release
-// counted for the next generation of that number, and it went on using the
-// primary after another one had been promoted.
-Test(store_return, a_release_of_a_lost_generation_does_not_count)
+// One host remembered the lost rows and could not reach the store. It told of
+// versions that the others took for newer than their own, so these confirmed
+// nothing and replaced no primary.
+Test(store_return, a_host_that_only_remembers_holds_nobody_up)
 {
     fleet_fixture f;
     fake_group group;
@@ -202,11 +206,12 @@
     f.m_platform.come_back(older);
     for (auto& entry : f.m_platform.m_entries)
         entry.m_primary = entry.m_id.str() == "e1";
-    // Only one host remembers, and it cannot reach the store.
     f.host(2).m_store.m_reachable = false;
     restart(f, 0);
     restart(f, 1);
-    group.run(f, absl::Seconds(3));
+    group.run(f, absl::Seconds(8));
+    for (std::size_t host = 0; host < 2; ++host)
+        cr_assert(uses_primary(f, host, 1));
     group.crash_primary(f);
     for (int count = 0; count < 400; ++count)
     {
@@ -216,6 +221,31 @@
     cr_assert_eq(group.m_primary, "e2");
 }
 
+// A host that the copy lacks still relied on the primary, and nobody waited for
+// it when the primary was replaced.
+Test(store_return, no_promotion_while_a_host_that_the_copy_lacks_may_rely)
+{
+    fleet_fixture f(2);
+    fake_group group;
+    const auto older = f.m_platform.copy();
+    f.m_hosts.push_back(
+        std::make_unique<fake_host>("h2", f.m_platform, f.m_clock));
+    f.run(absl::Seconds(2));
+    cr_assert(f.host(2).m_host.primary(group_name).has_value());
+    f.host(2).m_store.m_reachable = false;
+    f.host(2).m_heard = false;
+    f.m_platform.come_back(older);
+    f.m_platform.m_entries[0].m_leaving = true;
+    restart(f, 0);
+    restart(f, 1);
+    for (int count = 0; count < 300; ++count)
+    {
+        group.run(f, step);
+        cr_assert_not(is_old_primary_in_use(f, group), "after %d steps", count);
+    }
+    cr_assert_neq(group.m_primary, "e0");
+}
+
 // A host that started after the return read that the endpoint before the lost
 // promotion leads, and used it.
 Test(store_return, a_host_that_starts_does_not_use_the_replaced_primary)
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -25,6 +25,7 @@
     report.m_host = base::host_id("h1");
     report.m_incarnation = base::incarnation(5);
     report.m_number = 9;
+    report.m_era = rpc::store_era(2);
     report.m_confirmed_at = rpc::store_instant(77);
     report.m_demand.push_back({base::organisation_id("souq"), 12.5, 3});
     group_report group;
@@ -92,6 +93,7 @@
     cr_assert(decoded.has_value());
     const auto& report = std::get<host_report>(*decoded);
     cr_assert_eq(report.m_number, 9);
+    cr_assert_eq(report.m_era.value(), 2);
     cr_assert_float_eq(report.m_demand.at(0).m_rate, 12.5, 0.001);
     cr_assert_eq(report.m_groups.at(0).m_stopped_generation, 4);
     cr_assert(report.m_groups.at(0).m_row->m_phase == leadership_phase::moving);
@@ -101,7 +103,8 @@
 Test(report, damaged_bytes_never_stop_the_process)
 {
     std::mt19937 random(11);
-    member_update members{rpc::row_version(3), rpc::row_version(4), {}};
+    member_update members{
+        rpc::store_era(2), rpc::row_version(3), rpc::row_version(4), {}};
     members.m_rows.push_back({row("h1", 5), rpc::row_version(4)});
     for (const auto& what : {datagram(sample()), datagram(members),
                              datagram(endpoint_update{base::host_id("h1"),
