Give out no token and no generation twice when their row goes back

After a return a second holder promoted with a token that the first one had used.

Cause: tokens and generations were counted from a row of the store, and the row went back.

Change: each era of the store has numbers of its own (fleet::next_number). A holder keeps its token within an era and takes a new one after a return, since its row may be a remembered one.

Without an era (0) the numbers are as before.

Ruled out: the highest token that any host remembers; nobody may be left who does. The store's clock as the token: two holders may claim within its millisecond.

--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -69,6 +69,8 @@
 struct promotion_inputs
 {
     need m_need = need::none;
+    // Era of the store that the rows are of.
+    rpc::store_era m_era;
     // It is this host's turn to start.
     bool m_may_start = false;
     std::optional<fleet::leadership_row> m_leadership;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -112,6 +112,7 @@
 {
     handover::promotion_inputs given;
     given.m_need = why;
+    given.m_era = *m_era;
     if (given.m_need == need::none)
         group.m_needed_since.reset();
     else if (!group.m_needed_since)
--- a/lib/fleet/rows.cpp
+++ b/lib/fleet/rows.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace magnoliastack::fleet
 {
 namespace
@@ -11,6 +13,8 @@
 
 const std::string member_prefix = "member/";
 const std::string leadership_prefix = "group/";
+// More than an era will see of tokens or generations.
+constexpr std::uint64_t numbers_of_era = 1'000'000;
 
 tl::unexpected<base::error> unreadable(const rpc::fleet_row& row)
 {
@@ -57,6 +61,11 @@
 
 } // namespace
 
+std::uint64_t next_number(std::uint64_t last, rpc::store_era era)
+{
+    return std::max(last + 1, era.value() * numbers_of_era + 1);
+}
+
 std::string member_key(const base::host_id& host)
 {
     return member_prefix + host.str();
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -317,13 +317,11 @@
     fleet::duty_row duty;
     duty.m_holder = m_self;
     duty.m_incarnation = m_incarnation;
-    duty.m_token = 1;
-    if (inputs.m_duty)
-    {
-        const bool same = inputs.m_duty->m_holder == m_self &&
-                          inputs.m_duty->m_incarnation == m_incarnation;
-        duty.m_token = inputs.m_duty->m_token + (same ? 0 : 1);
-    }
+    const bool same = inputs.m_duty && inputs.m_duty->m_holder == m_self &&
+                      inputs.m_duty->m_incarnation == m_incarnation;
+    const std::uint64_t last = inputs.m_duty ? inputs.m_duty->m_token : 0;
+    // A holder keeps its token within an era.
+    duty.m_token = fleet::next_number(same ? last - 1 : last, inputs.m_era);
     duty.m_until = rpc::store_instant(inputs.m_store_latest.value() +
                                       milliseconds(m_options.m_tenure));
     return duty;
@@ -333,8 +331,9 @@
 {
     fleet::leadership_row row;
     row.m_group = m_group;
-    row.m_generation =
-        inputs.m_leadership ? inputs.m_leadership->m_generation + 1 : 1;
+    row.m_generation = fleet::next_number(
+        inputs.m_leadership ? inputs.m_leadership->m_generation : 0,
+        inputs.m_era);
     row.m_phase = fleet::leadership_phase::moving;
     row.m_primary = inputs.m_primary;
     row.m_term =
