Let the test of a second holder's token reach its second promotion

After the return no host sent a statement, so the second crash was never noticed and there was no second holder.

Change: callers write once a second; same checks.

--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -185,7 +185,16 @@
         host = std::make_unique<fake_host>(
             host->m_address.substr(0, host->m_address.find(':')), f.m_platform,
             f.m_clock, 2);
-    group.run(f, absl::Seconds(30));
+    for (std::uint64_t session = 1; session <= 20; ++session)
+    {
+        group.run(f, absl::Seconds(1));
+        for (auto& host : f.m_hosts)
+        {
+            driver caller(*host);
+            caller.start(session, "settle");
+            caller.say(session, rpc::statement_kind::write, "WRITE a b");
+        }
+    }
     cr_assert_gt(f.m_platform.m_promoted.back().m_token, first.m_token);
     cr_assert_not(is_token_used_twice(f.m_platform));
 }
