Promote nobody while a host that the copy lacks may rely on the primary

A host had registered after the copy and was cut off; the others, restarted, did not know it, counted their own releases and promoted 2.4 s after the return, while it still used the old primary.

Cause: releases were counted from the members that the store lists, and the store had lost one. A release told in an earlier era counted as well.

Change: within a lease (5 s and the margin) of the return a release is complete only when the lease is over, whoever is known; a peer's report counts when it is of the same era. A crash in these seconds takes that much longer.

Ruled out: waiting for each host that any other remembers: a host that nobody else knows is exactly the one in danger.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -259,6 +259,7 @@
     void restore_rows(base::instant now);
     [[nodiscard]] bool is_era_known() const;
     [[nodiscard]] bool is_settled(base::instant now) const;
+    [[nodiscard]] bool is_era_before_over(base::instant now) const;
     [[nodiscard]] bool is_of_era(const fleet::host_report& report) const;
     bool accepts(const std::string& key, const std::string& value,
                  rpc::row_version version);
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -151,7 +151,8 @@
                                 const group_leadership& group,
                                 base::instant now) const
 {
-    if (!group.m_row || group.m_stopped < group.m_row->m_generation)
+    if (!group.m_row || group.m_stopped < group.m_row->m_generation ||
+        !is_era_before_over(now))
         return false;
     for (const auto& [host, item] : m_members.all())
         if (host != m_options.m_self && !has_released(item, id, group, now))
@@ -174,6 +175,8 @@
         return false;
     if (host.m_report->m_leaving)
         return true;
+    if (!is_of_era(*host.m_report))
+        return false;
     for (const auto& report : host.m_report->m_groups)
         if (report.m_group == id &&
             report.m_stopped_generation >= group.m_row->m_generation)
--- a/lib/entry/fleet_recovery.cpp
+++ b/lib/entry/fleet_recovery.cpp
@@ -93,6 +93,16 @@
                absl::Milliseconds(m_era_row->m_since.value()) + wait;
 }
 
+// True when nobody relies any more on what was confirmed before a return. A
+// host that registered in what the store has lost may be unknown to all others
+// and rely on the old primary until then.
+bool fleet_service::is_era_before_over(base::instant now) const
+{
+    return is_era_known() && (m_era_row->m_since.value() == 0 ||
+                              m_currency.has_lapsed_since(m_era_row->m_since,
+                                                          m_store_clock, now));
+}
+
 // Writes the row of the era and what the store has lost. Any host may be the
 // first; the others learn it from the refusal of their change.
 void fleet_service::restore_rows(base::instant now)
