Confirm rows again as soon as all hosts have recovered theirs

What callers saw: refusals.

Cause: every host waited the whole 2 s, though all of them had written again what they remembered within about one.

Change: a report tells whether the store has all that its host remembers. In a small fleet the rows are confirmed as soon as each member says so.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -258,6 +258,8 @@
     void remember_rows();
     void restore_rows(base::instant now);
     [[nodiscard]] bool is_era_known() const;
+    [[nodiscard]] bool is_recovered() const;
+    [[nodiscard]] bool have_all_recovered() const;
     [[nodiscard]] bool is_settled(base::instant now) const;
     [[nodiscard]] bool is_era_before_over(base::instant now) const;
     [[nodiscard]] bool is_of_era(const fleet::host_report& report) const;
--- a/lib/entry/fleet_recovery.cpp
+++ b/lib/entry/fleet_recovery.cpp
@@ -76,11 +76,34 @@
     return m_recovery.is_empty() || m_recovery.take({key, value, version});
 }
 
-// True once all hosts that reach the store have had the time to write again
-// what it has lost: its answers confirm the rows from then on.
+// True when the store has all that this host remembers.
+bool fleet_service::is_recovered() const
+{
+    return m_era_read && is_era_known() && m_recovery.is_empty();
+}
+
+// True when each member has said so of itself. In a large fleet reports of all
+// hosts take too long to come.
+bool fleet_service::have_all_recovered() const
+{
+    return !m_homes.is_large_fleet() &&
+           std::all_of(m_members.all().begin(), m_members.all().end(),
+                       [this](const auto& item)
+                       {
+                           const auto& [host, other] = item;
+                           return host == m_options.m_self ||
+                                  other.m_row.m_out_since ||
+                                  (other.m_report &&
+                                   is_of_era(*other.m_report) &&
+                                   other.m_report->m_recovered);
+                       });
+}
+
+// True once all hosts that reach the store have written again what it has
+// lost, or have had the time to: its answers confirm the rows from then on.
 bool fleet_service::is_settled(base::instant now) const
 {
-    if (!m_era_read || !is_era_known() || !m_recovery.is_empty())
+    if (!is_recovered())
         return false;
     if (m_era_row->m_since.value() == 0)
         return true;
@@ -88,9 +111,10 @@
     const absl::Duration wait = m_homes.is_large_fleet()
                                     ? m_options.m_large_settling
                                     : m_options.m_settling;
-    return earliest &&
-           absl::Milliseconds(earliest->value()) >=
-               absl::Milliseconds(m_era_row->m_since.value()) + wait;
+    const bool had_time =
+        earliest && absl::Milliseconds(earliest->value()) >=
+                        absl::Milliseconds(m_era_row->m_since.value()) + wait;
+    return had_time || have_all_recovered();
 }
 
 // True when nobody relies any more on what was confirmed before a return. A
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -78,6 +78,7 @@
     to.m_configuration =
         base::configuration_version(from.getConfigurationVersion());
     to.m_era = rpc::store_era(from.getStoreEra());
+    to.m_recovered = from.getRecovered();
     to.m_confirmed_at = rpc::store_instant(from.getConfirmedAt());
     to.m_members_version = rpc::row_version(from.getMembersVersion());
     to.m_endpoints_digest = from.getEndpointsDigest();
@@ -102,6 +103,7 @@
     root.setStoreReachable(report.m_store_reachable);
     root.setConfigurationVersion(report.m_configuration.value());
     root.setStoreEra(report.m_era.value());
+    root.setRecovered(report.m_recovered);
     root.setConfirmedAt(report.m_confirmed_at.value());
     root.setMembersVersion(report.m_members_version.value());
     root.setEndpointsDigest(report.m_endpoints_digest);
--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -276,6 +276,31 @@
     cr_assert(f.host(2).m_host.primary(group_name) == base::endpoint_id("e1"));
 }
 
+// Primaries went without work for a moment after a short outage: the rows of
+// the era before had lapsed when the new ones were confirmed.
+Test(store_return, a_primary_stays_in_use_through_a_short_return)
+{
+    for (absl::Duration phase; phase < absl::Seconds(4);
+         phase += absl::Milliseconds(200))
+    {
+        fleet_fixture f(8);
+        f.run(phase);
+        const auto older = f.m_platform.copy();
+        set_store_reachable(f, false);
+        f.run(absl::Seconds(2));
+        f.m_platform.come_back(older);
+        set_store_reachable(f, true);
+        for (int count = 0; count < 120; ++count)
+        {
+            f.run(step);
+            for (const auto& host : f.m_hosts)
+                cr_assert(host->m_host.primary(group_name).has_value(),
+                          "phase %ld ms, %d steps after the return",
+                          absl::ToInt64Milliseconds(phase), count);
+        }
+    }
+}
+
 // An endpoint that had said that it leaves was listed as staying by the copy,
 // and got work again after its time was over.
 Test(store_return, an_endpoint_that_leaves_stays_so)
