Let the soak's store come back from older copies

Half of its outages for all hosts end with a return from a copy 0.2 to 8.2 s old: the era rises, versions are given out again, a watch of lost history gets 410, the operator writes its newest configuration again and the endpoints their entries.

The operator's versions now have a counter of their own, since the store's may go back. The checks are the same; the fault became harsher by a crash.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -196,8 +196,17 @@
             absl::StrCat("store away for hosts from ", first, ", way ", kind);
         for (std::size_t host = first; host < hosts; ++host)
             where.set_mood(host, moods[kind]);
-        return [&where, hosts]
+        // An outage for all may be one from which the store comes back with
+        // less than it had.
+        const std::chrono::milliseconds age(200 + draw(8000));
+        const bool returns = first == 0 && draw(2) == 0;
+        if (returns)
+            absl::StrAppend(&name, ", back from a copy ", age.count(),
+                            " ms old");
+        return [&where, hosts, returns, age]
         {
+            if (returns)
+                where.come_back(age);
             for (std::size_t host = 0; host < hosts; ++host)
                 where.set_mood(host, store_mood::serving);
         };
@@ -253,9 +262,12 @@
     default:
         name += " leaving";
         hit.m_leaving = true;
+        // Its process ends; another one starts under the same name.
         return [&hit]
         {
+            hit.crash();
             hit.m_leaving = false;
+            hit.start();
         };
     }
 }
--- a/test/soak/store.cpp
+++ b/test/soak/store.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds answer_time{4};
 constexpr std::chrono::milliseconds late_by{1500};
 constexpr std::uint64_t longest_wait_ms = 30'000;
+constexpr std::chrono::milliseconds copy_interval{250};
+constexpr std::chrono::seconds oldest_copy{10};
 
 const auto loopback = asio::ip::address_v4::loopback();
 
@@ -134,6 +136,12 @@
     bool answer_watch()
     {
         const std::string target(m_request.target());
+        if (number(target, "after") > m_owner.m_version)
+        {
+            m_watching = false;
+            answer(410, "");
+            return true;
+        }
         json rows = m_owner.rows(parameter(target, "table"),
                                  number(target, "after"), m_host);
         if (rows.empty() && number(target, "wait_ms") > 0)
@@ -190,6 +198,7 @@
     {
         m_answer = {};
         m_answer.result(status);
+        m_answer.set("Store-Era", std::to_string(m_owner.m_era));
         m_answer.body() = std::move(body);
         m_answer.prepare_payload();
         http::async_write(
@@ -359,8 +368,35 @@
 
 void store::configure(json configuration)
 {
-    configuration["version"] = m_version + 1;
-    put("op", "config", configuration.dump());
+    configuration["version"] = ++m_configuration_version;
+    m_configuration = configuration.dump();
+    put("op", "config", m_configuration);
+}
+
+void store::keep_copy()
+{
+    const auto now = clock::now();
+    if (!m_copies.empty() && now - m_copies.back().m_at < copy_interval)
+        return;
+    m_copies.push_back({now, m_version, m_rows});
+    if (now - m_copies.front().m_at > oldest_copy)
+        m_copies.pop_front();
+}
+
+void store::come_back(std::chrono::milliseconds age)
+{
+    const auto before = clock::now() - age;
+    while (m_copies.size() > 1 && m_copies.back().m_at > before)
+        m_copies.pop_back();
+    if (m_copies.empty())
+        return;
+    m_version = m_copies.back().m_version;
+    m_rows = m_copies.back().m_rows;
+    ++m_era;
+    for (const auto& item : std::exchange(m_watchers, {}))
+        if (const auto live = item.lock())
+            live->drop();
+    put("op", "config", m_configuration);
 }
 
 void store::set_entry(const endpoint& what, const std::string& group,
--- a/test/soak/store.hpp
+++ b/test/soak/store.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,6 +54,12 @@
     void remove_entry(const endpoint& what);
 
     void set_mood(std::size_t host, store_mood mood);
+    // Keeps a copy of all rows, to come back from.
+    void keep_copy();
+    // Comes back from the newest copy that is at least so old, with the next
+    // era. Watches end; the operator writes its configuration again, and the
+    // endpoints their entries with their next heartbeats.
+    void come_back(std::chrono::milliseconds age);
     [[nodiscard]] bool is_calm() const;
 
     // Every answer takes this much longer.
@@ -66,6 +73,14 @@
     struct connection;
     struct watcher;
     using json = nlohmann::json;
+    using tables = std::map<std::string, std::map<std::string, json>>;
+
+    struct stored_copy
+    {
+        clock::time_point m_at;
+        std::uint64_t m_version;
+        tables m_rows;
+    };
 
     void accept(std::size_t host);
     [[nodiscard]] json rows(const std::string& table, std::uint64_t after,
@@ -87,7 +102,12 @@
     std::vector<std::unique_ptr<tcp::acceptor>> m_acceptors;
     std::vector<store_mood> m_moods;
     std::uint64_t m_version = 1;
-    std::map<std::string, std::map<std::string, json>> m_rows;
+    std::uint64_t m_era = 1;
+    tables m_rows;
+    std::deque<stored_copy> m_copies;
+    // The operator's newest configuration; its versions never go back.
+    std::uint64_t m_configuration_version = 0;
+    std::string m_configuration;
     std::map<std::string, const endpoint*> m_endpoints;
     std::list<std::weak_ptr<connection>> m_watchers;
     unsigned m_draws = 0;
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -302,6 +302,7 @@
 
 void world::beat()
 {
+    m_store->keep_copy();
     m_next_beat = clock::now() + heartbeat;
     ++m_beats;
     for (const auto& item : m_groups)
