Use no row of a leadership that the endpoints contradict

All hosts that knew of a promotion are gone, the store has lost it, and the row names the endpoint before, which runs as a replica: reads of it lack commits, and in a cut it still takes writes.

Cause: a leadership row was believed whatever the endpoints said of themselves, and what no host remembers cannot be written again.

Change: while the row's primary calls itself a replica and another endpoint calls itself primary the row is contradicted. A contradiction that began within a lease of a return keeps the row from being used; one that lasts for 5 s of readings at any time makes it wrong, and the group is claimed anew: the endpoints' newest term decides, and the platform changes nothing for the present primary. A process that has started after the return cannot say that it has recovered all, so the full 2 s are waited then, in which the endpoints renew their entries.

The stand-in's endpoints now report their roles, as the platform's do.

Ruled out: the term in an endpoint's answers: a deposed primary that follows the new one shows the same. Using what differs at once outside of a return: an entry may be late for one reading.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -70,6 +70,9 @@
     // In a large fleet hosts write lost rows again one after the other, so that
     // most of them find nothing left to do.
     absl::Duration m_recovery_turn = absl::Milliseconds(150);
+    // A leadership row that the endpoints' entries contradict for this long is
+    // wrong. An entry that is not renewed lapses sooner.
+    absl::Duration m_contradicted_for = absl::Milliseconds(5000);
     // Rows of one change; the store takes 100 entries.
     std::size_t m_largest_recovery = 90;
     lease::currency_options m_currency;
@@ -234,6 +237,10 @@
         std::optional<base::endpoint_id> m_initial_primary;
         // The leader is listed and stays; kept when one of them changes.
         bool m_leader_stays = false;
+        // Set while the row's primary calls itself a replica and another
+        // endpoint calls itself primary: the store's time of the first such
+        // reading of the entries.
+        std::optional<rpc::store_instant> m_contradicted_since;
         const group_state* m_state = nullptr;
         std::optional<fleet::leadership_row> m_row;
         rpc::row_version m_version;
@@ -265,9 +272,12 @@
     [[nodiscard]] bool is_of_era(const fleet::host_report& report) const;
     bool accepts(const std::string& key, const std::string& value,
                  rpc::row_version version);
-    static void set_entries(group_leadership& group,
-                            std::vector<catalogue::endpoint_entry> entries);
-    static void update_leader_stays(group_leadership& group);
+    void set_entries(group_leadership& group,
+                     std::vector<catalogue::endpoint_entry> entries) const;
+    void update_leader(group_leadership& group) const;
+    [[nodiscard]] static bool is_contradicted(const group_leadership& group);
+    [[nodiscard]] bool is_row_wrong(const group_leadership& group) const;
+    [[nodiscard]] bool may_row_be_wrong(const group_leadership& group) const;
     [[nodiscard]] bool is_quiet(const base::group_id& id,
                                 group_leadership& group) const;
     void take_leadership(const fleet::leadership_row& row,
@@ -369,6 +379,8 @@
     std::optional<fleet::era_row> m_era_row;
     rpc::row_version m_era_version;
     fleet::row_recovery m_recovery;
+    // The era began while this process ran.
+    bool m_saw_return = false;
     // All rows of the era have been read, and from when on what is lost is
     // written again.
     bool m_era_read = false;
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -52,7 +52,7 @@
     base::configuration_version m_configuration;
     // Era of the store that all versions of the report are of.
     rpc::store_era m_era;
-    // The store has all that the host remembers from before the era.
+    // The host was there before the era, and the store has all that it knew.
     bool m_recovered = false;
     // 0 while the host may lack rows that the store has lost.
     rpc::store_instant m_confirmed_at;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -40,6 +40,10 @@
     // A group that somebody has left moving needs a primary.
     if (group.m_row && group.m_row->m_phase == leadership_phase::moving)
         return need::failed;
+    // A row that may be wrong is not used, but not replaced before it is known
+    // to be.
+    if (may_row_be_wrong(group) && !is_row_wrong(group))
+        return need::none;
     handover::primary_condition own;
     const auto leader = primary(id, now);
     own.m_absent = !leader;
--- a/lib/entry/fleet_recovery.cpp
+++ b/lib/entry/fleet_recovery.cpp
@@ -13,6 +13,7 @@
 {
     const bool is_return = m_era.has_value();
     m_era = era;
+    m_saw_return = is_return;
     m_era_row.reset();
     m_era_version = {};
     m_era_read = false;
@@ -82,11 +83,13 @@
     return m_era_read && is_era_known() && m_recovery.is_empty();
 }
 
-// True when each member has said so of itself. In a large fleet reports of all
-// hosts take too long to come.
+// True when each member was there before the return and has said so of itself.
+// Where one has started since, what it knew may be lost, and only time helps:
+// the endpoints renew their entries. In a large fleet reports of all hosts take
+// too long to come.
 bool fleet_service::have_all_recovered() const
 {
-    return !m_homes.is_large_fleet() &&
+    return m_saw_return && !m_homes.is_large_fleet() &&
            std::all_of(m_members.all().begin(), m_members.all().end(),
                        [this](const auto& item)
                        {
@@ -127,6 +130,54 @@
                                                           m_store_clock, now));
 }
 
+// True when the row's primary calls itself a replica and another endpoint calls
+// itself primary: the store may have lost a promotion that no host remembers.
+bool fleet_service::is_contradicted(const group_leadership& group)
+{
+    if (!group.m_row ||
+        group.m_row->m_phase != fleet::leadership_phase::serving)
+        return false;
+    const base::endpoint_id& leader = group.m_row->m_primary;
+    const auto is_replica = [&leader](const auto& entry)
+    {
+        return entry.m_id == leader && !entry.m_primary;
+    };
+    const auto leads_instead = [&leader](const auto& entry)
+    {
+        return entry.m_id != leader && entry.m_primary;
+    };
+    return std::any_of(group.m_entries.begin(), group.m_entries.end(),
+                       is_replica) &&
+           std::any_of(group.m_entries.begin(), group.m_entries.end(),
+                       leads_instead);
+}
+
+// True when the entries have contradicted the row for so long that they cannot
+// be the ones that are late.
+bool fleet_service::is_row_wrong(const group_leadership& group) const
+{
+    return group.m_contradicted_since &&
+           absl::Milliseconds(m_endpoints.read_at().value()) >=
+               absl::Milliseconds(group.m_contradicted_since->value()) +
+                   m_options.m_contradicted_for;
+}
+
+// When the two differ soon after a return, neither is known to be the older
+// one, and the row is not used until they agree.
+bool fleet_service::may_row_be_wrong(const group_leadership& group) const
+{
+    if (!group.m_contradicted_since || !is_era_known())
+        return false;
+    const rpc::store_instant since = m_era_row->m_since;
+    const absl::Duration lease =
+        m_options.m_currency.m_lease + m_options.m_currency.m_margin;
+    const bool began_after_return =
+        since.value() != 0 &&
+        absl::Milliseconds(group.m_contradicted_since->value()) <=
+            absl::Milliseconds(since.value()) + lease;
+    return began_after_return || is_row_wrong(group);
+}
+
 // Writes the row of the era and what the store has lost. Any host may be the
 // first; the others learn it from the refusal of their change.
 void fleet_service::restore_rows(base::instant now)
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -18,7 +18,7 @@
     report.m_store_reachable = m_store_reachable;
     report.m_configuration = configuration_version();
     report.m_era = m_era.value_or(rpc::store_era());
-    report.m_recovered = is_recovered();
+    report.m_recovered = m_saw_return && is_recovered();
     if (is_settled(now))
         report.m_confirmed_at = m_all_rows.confirmed_at();
     report.m_members_version = m_members.complete_version();
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -53,8 +53,9 @@
         set_entries(find(id), std::move(entries));
 }
 
-void fleet_service::set_entries(group_leadership& group,
-                                std::vector<catalogue::endpoint_entry> entries)
+void fleet_service::set_entries(
+    group_leadership& group,
+    std::vector<catalogue::endpoint_entry> entries) const
 {
     group.m_entries = std::move(entries);
     group.m_initial_primary.reset();
@@ -68,10 +69,10 @@
     }
     if (count != 1)
         group.m_initial_primary.reset();
-    update_leader_stays(group);
+    update_leader(group);
 }
 
-void fleet_service::update_leader_stays(group_leadership& group)
+void fleet_service::update_leader(group_leadership& group) const
 {
     const auto leader =
         group.m_row ? group.m_row->m_primary : group.m_initial_primary;
@@ -82,6 +83,10 @@
                                   return entry.m_id == *leader &&
                                          !entry.m_leaving;
                               });
+    if (!is_contradicted(group))
+        group.m_contradicted_since.reset();
+    else if (!group.m_contradicted_since)
+        group.m_contradicted_since = m_endpoints.read_at();
 }
 
 // True when nothing asks for a replacement of the primary and none runs; most
@@ -92,7 +97,7 @@
     if (group.m_state == nullptr)
         group.m_state = m_runner->find_group(id);
     return group.m_promotion->is_idle() && group.m_leader_stays &&
-           !group.m_needed_since &&
+           !group.m_needed_since && !group.m_contradicted_since &&
            (!group.m_row ||
             group.m_row->m_phase == leadership_phase::serving) &&
            (group.m_state == nullptr || !group.m_state->m_troubled);
@@ -161,7 +166,7 @@
         return;
     group.m_row = row;
     group.m_version = version;
-    update_leader_stays(group);
+    update_leader(group);
     group.m_changed_at = at;
     group.m_changed = now;
     m_log.info("leadership_changed",
@@ -236,7 +241,8 @@
     const auto& row = found->second.m_row;
     if (!row)
         return found->second.m_initial_primary;
-    if (row->m_phase != leadership_phase::serving)
+    if (row->m_phase != leadership_phase::serving ||
+        may_row_be_wrong(found->second))
         return std::nullopt;
     return row->m_primary;
 }
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -185,6 +185,6 @@
   leadershipsAfter @14 :UInt64;
   # Era of the store that all versions of the report are of.
   storeEra @15 :UInt64;
-  # The store has all that the host remembers from before the era.
+  # The host was there before the era, and the store has all that it knew.
   recovered @16 :Bool;
 }
--- a/unittests/entry/failover.hpp
+++ b/unittests/entry/failover.hpp
@@ -31,6 +31,8 @@
     std::string m_primary = "e0";
     std::uint64_t m_term = 1;
     std::set<std::string> m_crashed;
+    // Until then the endpoints renew no entry.
+    base::instant m_quiet_until;
 
     // The primary's process ends: connections to it are refused.
     void crash_primary(fleet_fixture& f)
@@ -53,6 +55,8 @@
         {
             f.run(absl::Milliseconds(50));
             follow_promotions(f);
+            if (f.m_clock.m_now >= m_quiet_until)
+                report_roles(f.m_platform);
             for (auto& host : f.m_hosts)
                 answer(*host);
         }
@@ -72,6 +76,14 @@
         }
     }
 
+    // Endpoints that run report a changed role at once.
+    void report_roles(fake_platform& platform) const
+    {
+        for (auto& entry : platform.m_entries)
+            if (!m_crashed.contains(entry.m_id.str()))
+                entry.m_primary = entry.m_id.str() == m_primary;
+    }
+
     void answer(fake_host& host)
     {
         driver endpoints(host);
--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -11,6 +11,8 @@
 
 const base::group_id group_name("g");
 constexpr absl::Duration step = absl::Milliseconds(50);
+// Endpoints write their entries again within this after a return.
+constexpr absl::Duration renewal = absl::Milliseconds(1500);
 
 void set_store_reachable(fleet_fixture& f, bool reachable)
 {
@@ -340,6 +342,36 @@
     cr_assert_not(seen.m_known.at("e0").m_leaving);
 }
 
+// Every host that knew of the lost promotion is gone, and the copy's row names
+// the endpoint before, which runs as a replica now. The endpoints' own entries
+// tell who leads.
+Test(store_return, a_row_that_the_endpoints_contradict_is_not_used)
+{
+    fleet_fixture f;
+    fake_group group;
+    for (std::size_t host = 0; host < 3; ++host)
+        uses_primary(f, host, 1);
+    group.crash_primary(f);
+    group.run(f, absl::Seconds(3));
+    cr_assert_eq(group.m_primary, "e1");
+    const auto older = f.m_platform.copy();
+    group.crash_primary(f);
+    group.run(f, absl::Seconds(8));
+    cr_assert_eq(group.m_primary, "e2");
+    group.m_crashed.clear();
+    f.m_platform.come_back(older);
+    group.m_quiet_until = f.m_clock.m_now + renewal;
+    for (std::size_t host = 0; host < 3; ++host)
+        restart(f, host);
+    for (int count = 0; count < 600; ++count)
+    {
+        group.run(f, step);
+        cr_assert_not(is_old_primary_in_use(f, group), "after %d steps", count);
+    }
+    for (auto& host : f.m_hosts)
+        cr_assert(host->m_host.primary(group_name) == base::endpoint_id("e2"));
+}
+
 // A return in each phase of a replacement, from copies of any age: after it
 // one primary serves, nobody uses an older one, and no token has two holders.
 Test(store_return, a_return_in_any_phase_of_a_replacement_breaks_nothing)
@@ -348,7 +380,8 @@
     constexpr absl::Duration pace = absl::Milliseconds(150);
     for (absl::Duration copied; copied < longest; copied += pace)
         for (absl::Duration lost = pace; lost < longest; lost += pace * 2)
-            for (const std::size_t restarted : {0U, 1U, 2U, 3U})
+            // One of the hosts, none, or all.
+            for (const std::size_t restarted : {0U, 1U, 2U, 3U, 4U})
             {
                 fleet_fixture f;
                 fake_group group;
@@ -359,8 +392,10 @@
                 const auto older = f.m_platform.copy();
                 group.run(f, lost);
                 f.m_platform.come_back(older);
-                if (restarted < 3)
-                    restart(f, restarted);
+                group.m_quiet_until = f.m_clock.m_now + renewal;
+                for (std::size_t host = 0; host < 3; ++host)
+                    if (restarted == host || restarted == 4)
+                        restart(f, host);
                 for (int count = 0; count < 300; ++count)
                 {
                     group.run(f, step);
