Play a return of the store against the process

The fixture of process tests (test/support/line_platform) can come back from a copy: header Store-Era, 410 for lost history, versions given out again before the first answer. process.entry_process_test gets a_configuration_after_a_return_of_the_store_is_in_force: an added database is served after the return, over real sockets and headers, and the return is counted once.

Ruled out: nothing.

--- a/test/entry_process_test.cpp
+++ b/test/entry_process_test.cpp
@@ -136,6 +136,42 @@
                   std::string::npos);
 }
 
+// Operators of the platform saw an added route that was not served after the
+// store had come back from an older copy: its row lay below the version from
+// which the host's watch went on.
+Test(entry_process, a_configuration_after_a_return_of_the_store_is_in_force)
+{
+    entry_fixture f;
+    const test::process host("magnolia-entry", {"--settings", f.m_settings},
+                             f.m_log);
+    cr_assert(f.wait_until_ready());
+    const auto is_served = [&f](const std::string& database)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            tcp::iostream caller("127.0.0.1", std::to_string(f.m_callers));
+            if (ask(caller, "START " + database + " key-1") == "READY I -|")
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        return false;
+    };
+    f.m_platform.keep_copy();
+    f.m_platform.add_database("dispatch");
+    cr_assert(is_served("dispatch"));
+    f.m_platform.come_back_with_database("wages");
+    cr_assert(is_served("wages"));
+    cr_assert(is_served("dispatch"));
+    tcp::iostream caller("127.0.0.1", std::to_string(f.m_callers));
+    cr_assert_eq(ask(caller, "START stock key-1"), "READY I -|");
+    cr_assert_eq(ask_until_done(caller, "QUERY ab12 READ 1a4"),
+                 "ROW pearl|DONE sig-1|READY I -|");
+    const auto metrics = entry_fixture::get(f.m_metrics, "/metrics");
+    cr_assert_neq(metrics.find("magnolia_store_returns_total 1"),
+                  std::string::npos);
+}
+
 Test(entry_process, an_unknown_key_and_bad_input_cost_only_their_own_session)
 {
     const entry_fixture f;
--- a/test/support/line_platform.cpp
+++ b/test/support/line_platform.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <list>
 #include <map>
@@ -51,12 +52,7 @@
           m_endpoint(m_loop, {asio::ip::address_v4::loopback(),
                               static_cast<unsigned short>(free_port())})
     {
-        put("op", "config",
-            R"({"version":1,"routes":[{"name":"r","host":"stock",)"
-            R"("kind":"primary","timeout_ms":1000,"service":"g"}],)"
-            R"("services":[{"name":"g","max_conns":10}],"limits":{},)"
-            R"("tenants":[{"name":"souq","api_keys":["key-1"],)"
-            R"("rate_per_s":100,"burst":100}]})");
+        add_database("stock");
         json entry = {{"service", "g"},   {"zone", "d"},          {"slots", 3},
                       {"state", "ready"}, {"db_role", "primary"}, {"seq", 1},
                       {"born", 1}};
@@ -93,6 +89,29 @@
             thread.join();
     }
 
+    void add_database(const std::string& name)
+    {
+        m_routes.push_back({{"name", name},
+                            {"host", name},
+                            {"kind", "primary"},
+                            {"timeout_ms", 1000},
+                            {"service", "g"}});
+        json configuration = json::parse(
+            R"({"services":[{"name":"g","max_conns":10}],"limits":{},)"
+            R"("tenants":[{"name":"souq","api_keys":["key-1"],)"
+            R"("rate_per_s":100,"burst":100}]})");
+        configuration["version"] = m_routes.size();
+        configuration["routes"] = m_routes;
+        put("op", "config", configuration.dump());
+    }
+
+    void come_back()
+    {
+        m_rows = m_copy;
+        m_version = m_copied_version;
+        ++m_era;
+    }
+
     void put(const std::string& table, const std::string& key,
              const std::string& value)
     {
@@ -145,7 +164,8 @@
                                 ? change(request.body())
                                 : rows(target);
             if (answer.body().empty())
-                answer.result(412);
+                answer.result(request.method() == http::verb::post ? 412 : 410);
+            answer.set("Store-Era", std::to_string(m_era));
             answer.prepare_payload();
             http::write(socket, answer, error);
             if (error)
@@ -153,11 +173,14 @@
         }
     }
 
+    // Empty when the history up to the version is gone.
     std::string rows(const std::string& target)
     {
         const std::lock_guard lock(m_mutex);
         const std::string after = parameter(target, "after");
         const std::uint64_t from = after.empty() ? 0 : std::stoull(after);
+        if (from > m_version)
+            return {};
         json found = json::array();
         for (const auto& [key, row] : m_rows[parameter(target, "table")])
             if (row.at("ver").get<std::uint64_t>() > from)
@@ -233,6 +256,10 @@
     std::list<std::pair<tcp::socket, std::thread>> m_connections;
     std::map<std::string, std::map<std::string, json>> m_rows;
     std::uint64_t m_version = 0;
+    json m_routes = json::array();
+    std::map<std::string, std::map<std::string, json>> m_copy;
+    std::uint64_t m_copied_version = 0;
+    std::atomic<std::uint64_t> m_era = 1;
     std::string m_received;
 };
 
@@ -248,6 +275,29 @@
            std::to_string(m_state->m_store.local_endpoint().port());
 }
 
+void line_platform::add_database(const std::string& name)
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    m_state->add_database(name);
+}
+
+void line_platform::keep_copy()
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    m_state->m_copy = m_state->m_rows;
+    m_state->m_copied_version = m_state->m_version;
+}
+
+void line_platform::come_back_with_database(const std::string& name)
+{
+    constexpr int other_writes = 20;
+    const std::lock_guard lock(m_state->m_mutex);
+    m_state->come_back();
+    m_state->add_database(name);
+    for (int count = 0; count < other_writes; ++count)
+        m_state->put("other", "row", "");
+}
+
 std::string line_platform::endpoint_received() const
 {
     const std::lock_guard lock(m_state->m_mutex);
--- a/test/support/line_platform.hpp
+++ b/test/support/line_platform.hpp
@@ -23,6 +23,15 @@
 
     [[nodiscard]] std::string store_address() const;
 
+    // The operator puts a configuration with one more database in force.
+    void add_database(const std::string& name);
+    // Keeps a copy of the store's rows.
+    void keep_copy();
+    // The store comes back from the copy. The operator's next configuration and
+    // other writes are there before the first answer, so that the versions that
+    // hosts know have been given out again.
+    void come_back_with_database(const std::string& name);
+
     // All that the endpoint was sent, one line each.
     [[nodiscard]] std::string endpoint_received() const;
 
