--- a/include/magnoliastack/fleet/rows.hpp
+++ b/include/magnoliastack/fleet/rows.hpp
@@ -79,9 +79,9 @@
     rpc::store_instant m_since;
 };
 
-// The number that follows `last` in this era. Tokens and generations are counted
-// from a row that may have gone back; each era has numbers of its own, so that
-// one that was used is never given out again.
+// The number that follows `last` in this era. Tokens and generations are
+// counted from a row that may have gone back; each era has numbers of its own,
+// so that one that was used is never given out again.
 std::uint64_t next_number(std::uint64_t last, rpc::store_era era);
 
 std::string member_key(const base::host_id& host);
