Count a contradiction from the row's change at the earliest

What callers would see: refusals. In a large fleet a host that does not follow the store may have read the endpoints long ago. A reading from right before a promotion then contradicted the new row, and the old reading's time was taken for the beginning: the row counted as wrong at once, and the new primary was replaced again.

Change: a contradiction begins at the row's change or later. Besides, what is to be written again after a return is tried each 100 ms at most, and its order in a large fleet has a bound of its own.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -70,6 +70,9 @@
     // In a large fleet hosts write lost rows again one after the other, so that
     // most of them find nothing left to do.
     absl::Duration m_recovery_turn = absl::Milliseconds(150);
+    absl::Duration m_recovery_latest = absl::Milliseconds(1500);
+    // Time between two tries to write them.
+    absl::Duration m_recovery_pause = absl::Milliseconds(100);
     // A leadership row that the endpoints' entries contradict for this long is
     // wrong. An entry that is not renewed lapses sooner.
     absl::Duration m_contradicted_for = absl::Milliseconds(5000);
@@ -239,7 +242,7 @@
         bool m_leader_stays = false;
         // Set while the row's primary calls itself a replica and another
         // endpoint calls itself primary: the store's time of the first such
-        // reading of the entries.
+        // reading of the entries, or of the row's change after it.
         std::optional<rpc::store_instant> m_contradicted_since;
         const group_state* m_state = nullptr;
         std::optional<fleet::leadership_row> m_row;
--- a/lib/entry/fleet_recovery.cpp
+++ b/lib/entry/fleet_recovery.cpp
@@ -23,9 +23,9 @@
         return;
     remember_rows();
     if (m_homes.is_large_fleet())
-        m_recover_at = now + m_options.m_recovery_turn *
-                                 static_cast<double>(std::min(
-                                     m_reading_place, m_options.m_judges));
+        m_recover_at = now + std::min(m_options.m_recovery_latest,
+                                      m_options.m_recovery_turn *
+                                          static_cast<double>(m_reading_place));
     m_log.warning(
         "rows_to_recover",
         {{"era", era}, {"at_ms", at}, {"members", m_members.all().size()}});
@@ -186,6 +186,7 @@
     if (!m_era_read || !latest || m_member_change_running ||
         now < m_recover_at || (is_era_known() && m_recovery.is_empty()))
         return;
+    m_recover_at = now + m_options.m_recovery_pause;
     rpc::fleet_change change;
     m_recovery.add_to(change, m_options.m_largest_recovery);
     const std::size_t lost = change.m_writes.size();
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -86,7 +86,8 @@
     if (!is_contradicted(group))
         group.m_contradicted_since.reset();
     else if (!group.m_contradicted_since)
-        group.m_contradicted_since = m_endpoints.read_at();
+        group.m_contradicted_since =
+            std::max(m_endpoints.read_at(), group.m_changed_at);
 }
 
 // True when nothing asks for a replacement of the primary and none runs; most
@@ -166,9 +167,9 @@
         return;
     group.m_row = row;
     group.m_version = version;
-    update_leader(group);
     group.m_changed_at = at;
     group.m_changed = now;
+    update_leader(group);
     m_log.info("leadership_changed",
                {{"group", row.m_group},
                 {"generation", row.m_generation},
--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -372,6 +372,33 @@
         cr_assert(host->m_host.primary(group_name) == base::endpoint_id("e2"));
 }
 
+// Hosts of a large fleet that do not follow the store have old readings of the
+// endpoints. One that was made before a promotion contradicted its row, and the
+// time of a reading long before was taken for the beginning.
+Test(store_return, a_late_reading_of_the_endpoints_replaces_no_new_primary)
+{
+    fleet_fixture f(20);
+    fake_group group;
+    f.run(absl::Seconds(30));
+    for (std::size_t host = 0; host < f.m_hosts.size(); ++host)
+        uses_primary(f, host, 1);
+    group.m_quiet_until = f.m_clock.m_now + absl::Seconds(6);
+    group.crash_primary(f);
+    while (group.m_primary == "e0")
+        group.run(f, step);
+    f.m_platform.m_entries[0].m_primary = true;
+    f.m_platform.m_entries[2].m_slots = 4;
+    for (int count = 0; count < 600; ++count)
+    {
+        group.run(f, step);
+        cr_assert_eq(f.m_platform.m_promoted.size(), 1, "after %d steps",
+                     count);
+    }
+    for (const auto& host : f.m_hosts)
+        cr_assert(host->m_host.primary(group_name) ==
+                  base::endpoint_id(group.m_primary));
+}
+
 // A return in each phase of a replacement, from copies of any age: after it
 // one primary serves, nobody uses an older one, and no token has two holders.
 Test(store_return, a_return_in_any_phase_of_a_replacement_breaks_nothing)
