Carry objectives, priorities, home regions and cold endpoints to the hosts

Cause: the configuration's objective of a route, the priority of an organisation, the home regions of both and what groups and endpoints say about cold starts were dropped when the documents were parsed, so no decision could use them.

Change: the catalogue, the documents and the datagrams between hosts carry them.

Ruled out: separate maps beside the organisations, because every reader would have to look into two places.

--- a/include/magnoliastack/base/ids.hpp
+++ b/include/magnoliastack/base/ids.hpp
@@ -13,6 +13,8 @@
 
 using host_id = strong_name<struct host_tag>;
 using failure_domain_id = strong_name<struct failure_domain_tag>;
+// A group of failure domains that lie close to each other.
+using region_id = strong_name<struct region_tag>;
 using organisation_id = strong_name<struct organisation_tag>;
 using endpoint_id = strong_name<struct endpoint_tag>;
 using group_id = strong_name<struct group_tag>;
--- a/include/magnoliastack/catalogue/configuration.hpp
+++ b/include/magnoliastack/catalogue/configuration.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace magnoliastack::catalogue
@@ -38,6 +39,10 @@
     std::uint32_t m_priority = 0;
     // Callers need no key.
     bool m_open = false;
+    // Within this an operation should end; zero when none is declared.
+    absl::Duration m_objective;
+    // Only endpoints in these regions serve it; empty for all.
+    std::set<base::region_id> m_home_regions;
 };
 
 // An organisation's part of the service.
@@ -47,6 +52,12 @@
     // Operations a second, and at once, over all hosts.
     double m_rate = 0;
     double m_burst = 0;
+    // False when it has no limit; rate and burst mean nothing then.
+    bool m_limited = true;
+    // 0 goes first.
+    std::uint32_t m_priority = 0;
+    // Only endpoints in these regions serve it; empty for all.
+    std::set<base::region_id> m_home_regions;
 };
 
 // A database group.
@@ -55,6 +66,9 @@
     base::group_id m_id;
     // Connections that one of its endpoints takes, from all hosts.
     std::uint32_t m_max_connections = 0;
+    // Requests a second that all hosts together may send to a cold endpoint; 0
+    // for no limit.
+    double m_cold_rate = 0;
 };
 
 // One version of the declarations.
--- a/include/magnoliastack/catalogue/endpoint_entry.hpp
+++ b/include/magnoliastack/catalogue/endpoint_entry.hpp
@@ -4,6 +4,8 @@
 
 #include "magnoliastack/base/ids.hpp"
 
+#include "absl/time/time.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +29,8 @@
     // Start of its process, in milliseconds since the Unix epoch. An endpoint
     // that restarts keeps its id and forgets everything else.
     std::int64_t m_started_unix_ms = 0;
+    // How much longer it stays slow after its start, as of its last change.
+    absl::Duration m_cold_left;
 
     bool operator==(const endpoint_entry&) const = default;
 };
--- a/lib/fleet/configuration_codec.cpp
+++ b/lib/fleet/configuration_codec.cpp
@@ -32,6 +32,23 @@
     }
 }
 
+// `to` is a list of as many texts.
+void write_regions(capnp::List<capnp::Text>::Builder to,
+                   const std::set<base::region_id>& from)
+{
+    unsigned index = 0;
+    for (const auto& region : from)
+        to.set(index++, region.str());
+}
+
+std::set<base::region_id> read_regions(capnp::List<capnp::Text>::Reader from)
+{
+    std::set<base::region_id> to;
+    for (const auto item : from)
+        to.insert(base::region_id(text(item)));
+    return to;
+}
+
 void write_route(wire::Route::Builder to, const std::string& database,
                  const catalogue::route& from)
 {
@@ -43,6 +60,10 @@
     to.setMaxStalenessMs(milliseconds(from.m_max_staleness));
     to.setPriority(from.m_priority);
     to.setOpen(from.m_open);
+    to.setObjectiveMs(milliseconds(from.m_objective));
+    write_regions(
+        to.initHomeRegions(static_cast<unsigned>(from.m_home_regions.size())),
+        from.m_home_regions);
 }
 
 catalogue::route read_route(wire::Route::Reader from)
@@ -55,6 +76,8 @@
     to.m_max_staleness = duration(from.getMaxStalenessMs());
     to.m_priority = from.getPriority();
     to.m_open = from.getOpen();
+    to.m_objective = duration(from.getObjectiveMs());
+    to.m_home_regions = read_regions(from.getHomeRegions());
     return to;
 }
 
@@ -72,6 +95,7 @@
         auto item = groups[index++];
         item.setId(id.str());
         item.setMaxConnections(group.m_max_connections);
+        item.setColdRate(group.m_cold_rate);
     }
     auto routes = to.initRoutes(static_cast<unsigned>(from.m_routes.size()));
     index = 0;
@@ -86,6 +110,11 @@
         item.setId(id.str());
         item.setRate(organisation.m_rate);
         item.setBurst(organisation.m_burst);
+        item.setUnlimited(!organisation.m_limited);
+        item.setPriority(organisation.m_priority);
+        write_regions(item.initHomeRegions(static_cast<unsigned>(
+                          organisation.m_home_regions.size())),
+                      organisation.m_home_regions);
     }
     auto keys = to.initKeys(static_cast<unsigned>(from.m_keys.size()));
     index = 0;
@@ -105,14 +134,20 @@
     for (const auto item : from.getGroups())
     {
         const base::group_id id(text(item.getId()));
-        to.m_groups[id] = {id, item.getMaxConnections()};
+        to.m_groups[id] = {id, item.getMaxConnections(), item.getColdRate()};
     }
     for (const auto item : from.getRoutes())
         to.m_routes[text(item.getDatabase())] = read_route(item);
     for (const auto item : from.getOrganisations())
     {
         const base::organisation_id id(text(item.getId()));
-        to.m_organisations[id] = {id, item.getRate(), item.getBurst()};
+        catalogue::organisation& who = to.m_organisations[id];
+        who.m_id = id;
+        who.m_rate = item.getRate();
+        who.m_burst = item.getBurst();
+        who.m_limited = !item.getUnlimited();
+        who.m_priority = item.getPriority();
+        who.m_home_regions = read_regions(item.getHomeRegions());
     }
     for (const auto item : from.getKeys())
         to.m_keys[text(item.getKey())] =
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -210,6 +210,8 @@
         item.setLeaving(endpoint.m_leaving);
         item.setPrimary(endpoint.m_primary);
         item.setStartedUnixMs(endpoint.m_started_unix_ms);
+        item.setColdLeftMs(static_cast<std::uint32_t>(
+            absl::ToInt64Milliseconds(endpoint.m_cold_left)));
     }
 }
 
@@ -232,6 +234,7 @@
         entry.m_leaving = item.getLeaving();
         entry.m_primary = item.getPrimary();
         entry.m_started_unix_ms = item.getStartedUnixMs();
+        entry.m_cold_left = absl::Milliseconds(item.getColdLeftMs());
     }
     return to;
 }
--- a/lib/quota/token_gate.cpp
+++ b/lib/quota/token_gate.cpp
@@ -86,7 +86,7 @@
                    const base::organisation_id& who, base::instant now)
 {
     const auto found = limits.m_organisations.find(who);
-    if (found == limits.m_organisations.end())
+    if (found == limits.m_organisations.end() || !found->second.m_limited)
         return nullptr;
     const double burst = found->second.m_burst * m_options.m_rate_part;
     m_homes.limit_homes(who, static_cast<std::size_t>(burst));
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -61,6 +61,7 @@
   primary @6 :Bool;
   # Start of its process, in milliseconds since the Unix epoch.
   startedUnixMs @7 :Int64;
+  coldLeftMs @8 :UInt32;
 }
 
 # Asks the receiver for the configuration that it has in force.
@@ -81,6 +82,8 @@
 struct Group {
   id @0 :Text;
   maxConnections @1 :UInt32;
+  # Requests a second to a cold endpoint; 0 for no limit.
+  coldRate @2 :Float64;
 }
 
 struct Route {
@@ -94,12 +97,19 @@
   priority @5 :UInt32;
   open @6 :Bool;
   id @7 :Text;
+  # 0 when none is declared.
+  objectiveMs @8 :UInt64;
+  homeRegions @9 :List(Text);
 }
 
 struct Organisation {
   id @0 :Text;
   rate @1 :Float64;
   burst @2 :Float64;
+  # It has no limit; rate and burst mean nothing then.
+  unlimited @3 :Bool;
+  priority @4 :UInt32;
+  homeRegions @5 :List(Text);
 }
 
 struct Key {
