Wait for processes that registered before a claim

Cause of the fault that is mended here: the host that replaces a primary took the last report of a process that had ended as planned for the word of its successor, when it had not yet read the successor's registration. The successor relied on rows that it had read before it registered, and nobody waited for it.

Change: a process relies on rows only once they were confirmed after its registration, and a claim's holder waits for no release before it has read all rows up to its claim. Both ask the store for what has changed instead of waiting for a watch; in a large fleet a host first gives its peers 600 ms to confirm the rows.

Evidence: restart/a_process_that_is_not_known_yet_is_not_released_by_its_predecessor fails without the change (the new process still uses e0 while e1 was promoted) and passes with it, as do the other 59 cases of unit.entry.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -136,6 +136,8 @@
                             base::instant now);
     // Reads the fleet's rows when they were confirmed too long ago.
     void rows_age(absl::Duration age, base::instant now);
+    // Reads what has changed in the fleet's rows, unless that runs already.
+    void refresh_rows(base::instant now);
     // Reads the configuration when a peer has a newer one.
     void peer_has_configuration(base::configuration_version version,
                                 base::instant now);
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -79,6 +79,9 @@
     // Rows of one change; the store takes 100 entries.
     std::size_t m_largest_recovery = 90;
     lease::currency_options m_currency;
+    // In a large fleet peers confirm the rows of most hosts that have
+    // registered within this; the others read them.
+    absl::Duration m_large_confirmation_wait = absl::Milliseconds(600);
     fleet::member_options m_members;
     handover::promotion_options m_promotion;
     handover::assessment_options m_assessment;
@@ -213,6 +216,9 @@
     // store.
     void endpoints_read(const std::vector<catalogue::endpoint_entry>& endpoints,
                         rpc::store_instant at);
+    // True while something waits for a reading of the rows that is newer than
+    // the last one.
+    [[nodiscard]] bool needs_rows(base::instant now) const;
     // Newest version of the configuration that a peer has told.
     [[nodiscard]] base::configuration_version newest_configuration() const
     {
@@ -265,6 +271,7 @@
     using group_item = std::pair<const base::group_id, group_leadership>;
 
     [[nodiscard]] bool is_current(base::instant now) const;
+    [[nodiscard]] bool is_confirmed_since_registration() const;
     void remember_rows();
     void restore_rows(base::instant now);
     [[nodiscard]] bool is_era_known() const;
@@ -402,6 +409,11 @@
     fleet::member_relay m_relay;
     // A time of the store after the change that registered this process.
     std::optional<rpc::store_instant> m_registered_at;
+    // All rows up to this version have been read.
+    rpc::row_version m_rows_version;
+    // Version of the newest claim of this host.
+    rpc::row_version m_claim_version;
+    base::instant m_registered;
     // Highest version of a leadership row that is known with all before.
     rpc::row_version m_leaderships_version;
     // A peer has told of a leadership row that this host lacks.
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -305,8 +305,13 @@
 {
     if (age < confirm_after())
         m_rows_fresh_at = now;
-    if (age < confirm_after() || !m_fleet_version || m_refresh.m_running ||
-        now < m_refresh.m_next)
+    if (age >= confirm_after())
+        refresh_rows(now);
+}
+
+void fleet_follower::refresh_rows(base::instant now)
+{
+    if (!m_fleet_version || m_refresh.m_running || now < m_refresh.m_next)
         return;
     started(m_refresh);
     m_store.read_fleet_changes(
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -155,8 +155,9 @@
                                 const group_leadership& group,
                                 base::instant now) const
 {
+    // Hosts that registered before the claim have to be known.
     if (!group.m_row || group.m_stopped < group.m_row->m_generation ||
-        !is_era_before_over(now))
+        !is_era_before_over(now) || m_rows_version < group.m_version)
         return false;
     for (const auto& [host, item] : m_members.all())
         if (host != m_options.m_self && !has_released(item, id, group, now))
@@ -210,8 +211,10 @@
                                        {"reason", result.error().m_message}});
                     const auto at = m_links.m_clock.now();
                     find(id).m_promotion->change_ended(result, at);
-                    if (result && result->m_applied)
-                        tell_all(at);
+                    if (!result || !result->m_applied)
+                        return;
+                    m_claim_version = result->m_version;
+                    tell_all(at);
                 });
         }
         else if (const auto* ask = std::get_if<handover::ask_report>(&action))
--- a/lib/entry/fleet_recovery.cpp
+++ b/lib/entry/fleet_recovery.cpp
@@ -16,6 +16,8 @@
     m_saw_return = is_return;
     m_era_row.reset();
     m_era_version = {};
+    m_claim_version = {};
+    m_rows_version = {};
     m_era_read = false;
     m_era_missing = false;
     m_recover_at = now;
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -144,11 +144,16 @@
         return;
     if (known != nullptr && known->m_row.m_incarnation != row.m_incarnation)
         m_demand.ended(row.m_host);
+    const bool was_registered = m_members.is_registered();
     m_members.row_changed(row, version, at, now);
     m_members_changed = true;
-    // The answer to the change that wrote the row may have been lost.
-    if (row.m_host == m_options.m_self && m_members.is_registered())
+    // The answer to the change that wrote the row may have been lost. A row
+    // that is read again after a return of the store registers nobody anew.
+    if (!was_registered && m_members.is_registered())
+    {
         m_registered_at = at;
+        m_registered = now;
+    }
     m_log.info("member_changed", {{"member", row.m_host},
                                   {"incarnation", row.m_incarnation},
                                   {"out", row.m_out_since.has_value()},
@@ -188,6 +193,7 @@
     m_rows_known = true;
     m_era_read = true;
     m_store_clock.answered(at, sent, now);
+    m_rows_version = std::max(m_rows_version, version);
     m_members.rows_complete(version);
     leaderships_complete(version);
     m_row_missing = false;
@@ -281,9 +287,28 @@
 bool fleet_service::is_current(base::instant now) const
 {
     return m_rows_known && !m_leaving && m_members.is_registered() &&
+           is_confirmed_since_registration() &&
            m_currency.is_current(m_store_clock, now);
 }
 
+// Whoever claimed a group before this process registered may not wait for it,
+// so rows that were read before are not relied on.
+bool fleet_service::is_confirmed_since_registration() const
+{
+    return m_registered_at && m_currency.confirmed_at() >= *m_registered_at;
+}
+
+bool fleet_service::needs_rows(base::instant now) const
+{
+    if (m_claim_version > m_rows_version)
+        return true;
+    const absl::Duration wait = m_homes.is_large_fleet()
+                                    ? m_options.m_large_confirmation_wait
+                                    : absl::ZeroDuration();
+    return m_members.is_registered() && !is_confirmed_since_registration() &&
+           now - m_registered >= wait;
+}
+
 // True when the host is marked and relies on no row any more.
 bool fleet_service::has_lapsed(const fleet::member& host,
                                base::instant now) const
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -58,6 +58,8 @@
     const auto now = m_links.m_clock.now();
     m_follower.set_fleet_size(m_fleet.members().size());
     m_follower.set_reading_place(m_fleet.reading_place());
+    if (m_fleet.needs_rows(now))
+        m_follower.refresh_rows(now);
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
     m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
     m_follower.tick(now);
