Block signals until the entry process has its handlers

A process that inherited them blocked never received them.

Change: main blocks the three signals first. The log thread has all signals blocked already.

Ruled out: ignoring the signals at first, because one that came early would be lost. Between the exec and main (loading of shared libraries) nothing in the process can block a signal; only a parent that blocks them can, and the tests of that time start the process so.

--- a/test/entry_process_test.cpp
+++ b/test/entry_process_test.cpp
@@ -7,11 +7,16 @@
 #include <boost/asio.hpp>
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 #include <criterion/criterion.h>
 
@@ -114,8 +119,164 @@
     return answer;
 }
 
+// A settings file whose reader waits: a process that has opened it has begun
+// its main function and has no handlers yet.
+class held_settings
+{
+public:
+    explicit held_settings(const std::string& path)
+        : m_path(path), m_real(path + ".real")
+    {
+        // A process that has ended leaves a pipe without a reader.
+        std::signal(SIGPIPE, SIG_IGN);
+        std::rename(m_path.c_str(), m_real.c_str());
+        cr_assert_eq(mkfifo(m_path.c_str(), 0600), 0);
+    }
+
+    // Waits until the process has opened the file. Readers that come later
+    // find the real one.
+    void wait_for_reader()
+    {
+        m_writer.open(m_path);
+        std::rename(m_real.c_str(), m_path.c_str());
+    }
+
+    void release()
+    {
+        m_writer << std::ifstream(m_path).rdbuf();
+        m_writer.close();
+    }
+
+private:
+    std::string m_path;
+    std::string m_real;
+    std::ofstream m_writer;
+};
+
+// Waits until the log has a line with this text.
+bool log_has(const std::string& path, const std::string& text)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        std::stringstream all;
+        all << std::ifstream(path).rdbuf();
+        if (all.str().find(text) != std::string::npos)
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+// Blocks the signals for the threads and processes that are started in its
+// life.
+class blocked_signals
+{
+public:
+    blocked_signals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGHUP);
+        sigaddset(&signals, SIGTERM);
+        pthread_sigmask(SIG_BLOCK, &signals, &m_before);
+    }
+    ~blocked_signals()
+    {
+        pthread_sigmask(SIG_SETMASK, &m_before, nullptr);
+    }
+
+    blocked_signals(const blocked_signals&) = delete;
+    blocked_signals& operator=(const blocked_signals&) = delete;
+
+private:
+    sigset_t m_before{};
+};
+
+constexpr int start_delays_us[] = {0, 300, 1000, 3000, 10'000, 30'000};
+
 } // namespace
 
+// Soak seed 201: a SIGHUP before the handlers were installed ended the
+// process. A SIGHUP has to reload and a SIGTERM to start the planned stop.
+Test(entry_process, signals_while_the_settings_are_read_are_handled_later)
+{
+    const entry_fixture f;
+    held_settings settings(f.m_settings);
+    test::process host("magnolia-entry", {"--settings", f.m_settings}, f.m_log);
+    settings.wait_for_reader();
+    host.signal(SIGHUP);
+    host.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    settings.release();
+    cr_assert(log_has(f.m_log, "event=reloaded"));
+    cr_assert(log_has(f.m_log, "event=drain_started"));
+    cr_assert_eq(host.wait_for_exit(30), 0);
+}
+
+// The same between the reading of the settings and the event loop.
+Test(entry_process, signals_after_the_settings_are_read_do_not_end_the_process)
+{
+    const entry_fixture f;
+    for (const int delay : start_delays_us)
+    {
+        std::remove(f.m_log.c_str());
+        held_settings settings(f.m_settings);
+        test::process host("magnolia-entry", {"--settings", f.m_settings},
+                           f.m_log);
+        settings.wait_for_reader();
+        settings.release();
+        std::this_thread::sleep_for(std::chrono::microseconds(delay));
+        host.signal(SIGHUP);
+        cr_assert(log_has(f.m_log, "event=reloaded"), "SIGHUP after %d us",
+                  delay);
+        host.signal(SIGTERM);
+        host.signal(SIGHUP);
+        cr_assert(log_has(f.m_log, "event=drain_started"));
+        if (delay == start_delays_us[0])
+            cr_assert_eq(host.wait_for_exit(30), 0);
+    }
+}
+
+// From the exec to main the process can block nothing, so its parent does it
+// here. A process that inherits blocked signals has to unblock them, and what
+// was sent before has to take effect.
+Test(entry_process, signals_since_the_exec_are_delivered_when_inherited_blocked)
+{
+    const entry_fixture f;
+    for (const int delay : start_delays_us)
+    {
+        std::remove(f.m_log.c_str());
+        const blocked_signals blocked;
+        test::process host("magnolia-entry", {"--settings", f.m_settings},
+                           f.m_log);
+        std::this_thread::sleep_for(std::chrono::microseconds(delay));
+        host.signal(SIGHUP);
+        host.signal(SIGTERM);
+        cr_assert(log_has(f.m_log, "event=reloaded"), "SIGHUP after %d us",
+                  delay);
+        cr_assert(log_has(f.m_log, "event=drain_started"),
+                  "SIGTERM after %d us", delay);
+    }
+}
+
+// A signal after the event loop's end met the default action again.
+Test(entry_process, signals_throughout_a_planned_stop_do_not_end_the_process)
+{
+    const entry_fixture f;
+    test::process host("magnolia-entry", {"--settings", f.m_settings}, f.m_log);
+    cr_assert(f.wait_until_ready());
+    siginfo_t ended{};
+    while (ended.si_pid == 0)
+    {
+        host.signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::microseconds(200));
+        waitid(P_PID, static_cast<id_t>(host.pid()), &ended,
+               WEXITED | WNOHANG | WNOWAIT);
+    }
+    cr_assert_eq(host.wait_for_exit(30), 0);
+}
+
 Test(entry_process, a_statement_crosses_the_sockets_and_no_key_does)
 {
     const entry_fixture f;
--- a/tools/magnolia-entry/main.cpp
+++ b/tools/magnolia-entry/main.cpp
@@ -35,6 +35,7 @@
 
 int main(int argc, char** argv)
 {
+    magnoliastack::platform::block_signals();
     const auto parsed = daemon_cli::parse(
         argc, argv,
         {"Entry host of a database proxy with session consistency.",
