End a planned stop with the last answer and hand sessions over early

Cause: a planned stop closed only sessions that a tick found idle, so a session that always had a next statement was served until the end at 0.8 of the limit, and what ran then was cut. Idle transactions were closed while a statement of them was unread, the exit did not wait for the callers' output, and a socket closed with unread bytes is reset, which can lose answers.

Change: from 2.2 s on no operation begins (busy, also for new sessions), and a session is closed as soon as nothing of it is left to be answered. Transactions go on until 0.5 of the limit; then each is rolled back after its running statement and its read statements are answered as aborted. At 0.85 what still runs is answered as at the end of its time limit. The process ends when no session and no output is left, at the latest at 0.9. The host leaves the fleet only after its last session.

Ruled out: closing idle sessions before 2.2 s, because the balancer would send their callers back here; a shorter time limit for all statements at the beginning of the stop, because one that runs may still end.

The hand-over in platform/session_server.cpp has no test yet.

--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -18,12 +18,15 @@
 // Steps of a planned stop, from its beginning.
 struct drain_plan
 {
-    // Idle sessions are closed. The balancer needs 2 s to learn that the host
-    // takes no new ones.
+    // Sessions are closed when they are between operations, and no operation
+    // begins any more. The balancer needs 2 s to learn that the host takes no
+    // new sessions.
     absl::Duration m_close_idle;
     // Open transactions are ended.
     absl::Duration m_abort;
-    // The process ends.
+    // Statements that still run are given up and answered.
+    absl::Duration m_give_up;
+    // The process ends, whatever is left.
     absl::Duration m_end;
 };
 
@@ -141,6 +144,11 @@
 
 private:
     void follow_isolation(base::instant now);
+    void follow_drain(base::instant now);
+    void check_drained(base::instant now);
+    void end_drain(const char* reason, base::instant now);
+    void log_drain(const char* event, base::instant now,
+                   const char* reason = "planned_stop");
     void apply_endpoints(base::instant now);
     [[nodiscard]] std::size_t even_part(const catalogue::group& group) const;
     [[nodiscard]] std::map<base::group_id, std::size_t>
@@ -160,6 +168,11 @@
     std::vector<catalogue::endpoint_entry> m_entries;
     std::optional<base::instant> m_isolated_since;
     std::optional<base::instant> m_draining_since;
+    // Steps of the planned stop that were taken.
+    bool m_handing_over = false;
+    bool m_aborting = false;
+    bool m_giving_up = false;
+    bool m_drained = false;
     base::instant m_next_division;
 };
 
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -11,10 +11,12 @@
 namespace
 {
 
-// Parts of the time until the kill: transactions have the first half to end by
-// themselves, and a fifth is kept for a slow machine.
-constexpr double abort_part = 0.55;
-constexpr double end_part = 0.8;
+// Parts of the time until the kill. Transactions have the first half to end by
+// themselves. Between the last two parts the refusals of what still runs are
+// written; a tenth is kept for a slow machine.
+constexpr double abort_part = 0.5;
+constexpr double give_up_part = 0.85;
+constexpr double end_part = 0.9;
 constexpr absl::Duration balancer_time = absl::Milliseconds(2200);
 
 // Connections of an endpoint that all hosts together keep while idle.
@@ -29,7 +31,8 @@
 drain_plan drain_times(absl::Duration limit)
 {
     const absl::Duration abort = limit * abort_part;
-    return {std::min(balancer_time, abort), abort, limit * end_part};
+    return {std::min(balancer_time, abort), abort, limit * give_up_part,
+            limit * end_part};
 }
 
 host::host(host_options options, host_links links)
@@ -61,23 +64,75 @@
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
     m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
     m_follower.tick(now);
+    follow_drain(now);
     m_runner.tick(now);
     m_fleet.tick(m_follower.is_reaching_store(), now);
     m_service.tick(now);
     if (now >= m_next_division)
         apply_endpoints(now);
     follow_isolation(now);
-    if (!m_draining_since)
+    check_drained(now);
+}
+
+// Takes the steps of a planned stop whose time has come.
+void host::follow_drain(base::instant now)
+{
+    if (!m_draining_since || m_drained)
         return;
+    const drain_plan& plan = m_options.m_drain;
     const auto draining = now - *m_draining_since;
-    if (draining >= m_options.m_drain.m_abort)
+    if (draining >= plan.m_close_idle && !std::exchange(m_handing_over, true))
+    {
+        log_drain("drain_handing_over", now);
+        m_service.hand_over(now);
+    }
+    if (draining >= plan.m_abort && !std::exchange(m_aborting, true))
     {
+        log_drain("drain_ending_transactions", now);
         m_service.abort_transactions(now);
-        if (m_service.session_count() == 0)
-            m_fleet.leave(now);
     }
-    else if (draining >= m_options.m_drain.m_close_idle)
-        m_service.close_idle(now, now);
+    if (draining >= plan.m_give_up && !std::exchange(m_giving_up, true) &&
+        m_service.session_count() > 0)
+    {
+        log_drain("drain_giving_up", now);
+        m_service.give_up(now);
+    }
+}
+
+// Sessions need the host's part of the rates and its place in the fleet, so it
+// leaves only after the last one.
+void host::check_drained(base::instant now)
+{
+    if (!m_handing_over || m_drained)
+        return;
+    if (m_service.session_count() == 0)
+    {
+        m_fleet.leave(now);
+        if (!m_links.m_sessions.has_output())
+        {
+            end_drain("drained", now);
+            return;
+        }
+    }
+    if (now - *m_draining_since >= m_options.m_drain.m_end)
+        end_drain("time_over", now);
+}
+
+void host::end_drain(const char* reason, base::instant now)
+{
+    m_drained = true;
+    m_links.m_metrics.counter(std::string("drain.") + reason).add();
+    log_drain("drain_ended", now, reason);
+}
+
+void host::log_drain(const char* event, base::instant now, const char* reason)
+{
+    m_log.info(event,
+               {{"reason", reason},
+                {"left", *m_draining_since + m_options.m_drain.m_end - now},
+                {"sessions", m_service.session_count()},
+                {"working", m_service.working_count()},
+                {"unsent", m_links.m_sessions.has_output()}});
 }
 
 // Callers whose sessions stay open would reach this host for as long as it is
@@ -114,17 +169,13 @@
     if (m_draining_since)
         return;
     m_draining_since = m_links.m_clock.now();
-    m_log.info("drain_started", {{"sessions", m_service.session_count()}});
+    m_links.m_metrics.counter("drain.started").add();
+    log_drain("drain_started", *m_draining_since);
 }
 
 bool host::is_drained() const
 {
-    if (!m_draining_since)
-        return false;
-    const auto draining = m_links.m_clock.now() - *m_draining_since;
-    return draining >= m_options.m_drain.m_end ||
-           (draining >= m_options.m_drain.m_abort &&
-            m_service.session_count() == 0);
+    return m_drained;
 }
 
 void host::configuration_changed(rpc::configuration_ptr configuration,
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -17,6 +17,8 @@
 // Limit of a statement on a route that names none.
 constexpr absl::Duration default_statement_timeout = absl::Seconds(2);
 
+constexpr std::string_view host_stops_text = "this host stops";
+
 bool writes(const session& who, const rpc::opaque_statement& what)
 {
     if (what.m_kind == statement_kind::write)
@@ -59,6 +61,8 @@
     auto checked = identify(*who);
     if (!checked.m_error && m_sessions.size() >= m_options.m_largest_sessions)
         checked = {statement_error::busy, "too many sessions", true};
+    if (!checked.m_error && m_handing_over)
+        checked = {statement_error::busy, std::string(host_stops_text), true};
     if (checked.m_error)
     {
         m_metrics
@@ -121,9 +125,17 @@
     {
         const auto found = m_sessions.find(number);
         if (found == m_sessions.end() || found->second->m_work ||
-            found->second->m_awaits_token || found->second->m_inbox.empty())
+            found->second->m_awaits_token)
             return;
         session& present = *found->second;
+        if (m_aborting)
+            end_transaction(present, now);
+        if (present.m_inbox.empty())
+        {
+            if (may_hand_over(present))
+                hand_over(number, now);
+            return;
+        }
         auto what = std::move(present.m_inbox.front());
         present.m_inbox.pop_front();
         serve(present, std::move(what), now);
@@ -188,7 +200,10 @@
         answer(who, statement_error::malformed, "no transaction is open");
         return;
     }
-    const auto checked = identify(who);
+    const auto checked =
+        m_handing_over ? admission_result{statement_error::busy,
+                                          std::string(host_stops_text), false}
+                       : identify(who);
     if (checked.m_error)
     {
         refuse(who, what, checked);
@@ -426,17 +441,75 @@
             !who->m_awaits_token && who->m_started <= started_until)
             idle.push_back(number);
     for (const auto number : idle)
-        end(number, now);
+        hand_over(number, now);
+}
+
+void session_service::hand_over(base::instant now)
+{
+    m_handing_over = true;
+    close_idle(now, now);
+}
+
+void session_service::hand_over(rpc::session_number number, base::instant now)
+{
+    const auto found = m_sessions.find(number);
+    if (found == m_sessions.end())
+        return;
+    m_metrics.counter("sessions.handed_over").add();
+    m_runner->forget(*found->second, now);
+    m_sessions.erase(found);
+    m_link.hand_over(number);
+}
+
+// True when nothing of the session is left to be answered.
+bool session_service::may_hand_over(const session& who) const
+{
+    return m_handing_over && !who.m_work && !who.m_awaits_token &&
+           who.m_inbox.empty() &&
+           (m_aborting || who.m_state == transaction_state::idle);
+}
+
+// The caller's next statement is told that the transaction was rolled back.
+void session_service::end_transaction(session& who, base::instant now)
+{
+    if (who.m_state != transaction_state::open || who.m_lost)
+        return;
+    m_metrics.counter("transactions.stopped").add();
+    m_runner->roll_back(who, now);
+    who.m_lost = true;
+}
+
+std::size_t session_service::working_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_sessions.begin(), m_sessions.end(),
+        [](const auto& item)
+        {
+            return item.second->m_work || item.second->m_awaits_token;
+        }));
 }
 
 void session_service::abort_transactions(base::instant now)
 {
+    m_aborting = true;
     std::vector<rpc::session_number> open;
     for (const auto& [number, who] : m_sessions)
-        if (!who->m_work && !who->m_awaits_token)
-            open.push_back(number);
+    {
+        if (who->m_work || who->m_awaits_token)
+            continue;
+        end_transaction(*who, now);
+        open.push_back(number);
+    }
     for (const auto number : open)
-        end(number, now);
+        hand_over(number, now);
+}
+
+// The runner answers statements whose time is over in its next tick.
+void session_service::give_up(base::instant now)
+{
+    for (auto& [number, who] : m_sessions)
+        if (who->m_work)
+            who->m_work->m_deadline = std::min(who->m_work->m_deadline, now);
 }
 
 } // namespace magnoliastack::entry
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -69,6 +69,17 @@
     {
         m_closed.insert(session.value());
     }
+    void hand_over(rpc::session_number session) override
+    {
+        close(session);
+    }
+    [[nodiscard]] bool has_output() const override
+    {
+        return m_has_output;
+    }
+
+    // A caller reads slowly.
+    bool m_has_output = false;
 };
 
 // A request that an endpoint has received.
