Serve routes and organisations only in their home regions

Cause: the configuration declares home regions, but no host knew the region of a failure domain, and statements ran at any endpoint.

Change: the settings give the host's region and a table of the failure domains' regions. entry::region_map decides without I/O whether a failure domain may serve a route and an organisation; placement uses it for reads, writes and transactions. When an endpoint could run the statement but is outside the homes, it is refused at once with busy, counted as refused.home_regions and logged.

Ruled out: removing endpoints outside the homes before the placement, since the refusal could not be told from a lack of fresh endpoints.

--- a/include/magnoliastack/entry/placement.hpp
+++ b/include/magnoliastack/entry/placement.hpp
@@ -19,6 +19,8 @@
     base::endpoint_id m_endpoint;
     bool m_primary = false;
     bool m_same_failure_domain = false;
+    // Its failure domain is in none of the statement's home regions.
+    bool m_outside_homes = false;
     // Last log point that it has shown.
     std::optional<base::log_point> m_position;
     // Statements and transactions of this host on it.
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -5,6 +5,7 @@
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/configuration.hpp"
 #include "magnoliastack/entry/connection.hpp"
+#include "magnoliastack/entry/home_regions.hpp"
 #include "magnoliastack/rpc/opaque_statement.hpp"
 #include "magnoliastack/rpc/session_link.hpp"
 
@@ -71,6 +72,8 @@
     base::organisation_id m_organisation;
     // The route of the present operation.
     catalogue::route m_route;
+    // Home regions of the present operation.
+    home_regions m_homes;
     rpc::transaction_state m_state = rpc::transaction_state::idle;
     bool m_read_only = false;
     // The transaction has sent a write.
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -3,6 +3,7 @@
 #define MAGNOLIASTACK_ENTRY_STATEMENT_RUNNER_HPP
 
 #include "magnoliastack/entry/group_state.hpp"
+#include "magnoliastack/entry/home_regions.hpp"
 #include "magnoliastack/entry/placement.hpp"
 #include "magnoliastack/entry/session.hpp"
 #include "magnoliastack/logging/logging.hpp"
@@ -23,6 +24,7 @@
 struct runner_options
 {
     base::failure_domain_id m_failure_domain;
+    region_map m_regions;
     // An endpoint that owes an answer and has sent nothing for this long is
     // suspected; a busy endpoint answers something else meanwhile.
     absl::Duration m_silence = absl::Milliseconds(250);
@@ -202,6 +204,10 @@
                                                 group_state& group,
                                                 bool may_open,
                                                 base::instant now);
+    void refuse_unplaced(session& who, const group_state& group,
+                         const placement_request& request,
+                         std::vector<placement_candidate> choices,
+                         base::instant now);
     void use(session& who, endpoint_state& endpoint, base::instant now);
     connection& open(endpoint_state& endpoint,
                      const base::organisation_id& organisation,
--- a/include/magnoliastack/entry_settings/entry_settings.hpp
+++ b/include/magnoliastack/entry_settings/entry_settings.hpp
@@ -9,6 +9,7 @@
 #include "tl/expected.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,10 @@
 {
     base::host_id m_host;
     base::failure_domain_id m_failure_domain;
+    // Region of the host; empty when the deployment declares none.
+    base::region_id m_region;
+    // Region of each failure domain that the deployment declares.
+    std::map<base::failure_domain_id, base::region_id> m_regions;
     // `ip:port` each.
     std::string m_callers_address;
     std::string m_probe_address;
--- a/include/magnoliastack/settings/schema.hpp
+++ b/include/magnoliastack/settings/schema.hpp
@@ -85,6 +85,9 @@
     // others once.
     bool m_named = false;
     std::vector<key_rule> m_keys;
+    // Set for a table: its keys are names of the file's own choice, and their
+    // values follow this rule.
+    std::optional<key_rule> m_table = std::nullopt;
 
     // The rule of a key, or null.
     [[nodiscard]] const key_rule* find(std::string_view key) const;
@@ -122,6 +125,8 @@
     [[nodiscard]] int line() const;
     // The line of a key, or of the header when the default holds.
     [[nodiscard]] int line_of(std::string_view key) const;
+    // The keys and values of a table, in the order of the file.
+    [[nodiscard]] std::vector<entry> entries() const;
     // True when the file sets the key.
     [[nodiscard]] bool has(std::string_view key) const;
 
--- a/lib/entry/placement.cpp
+++ b/lib/entry/placement.cpp
@@ -20,6 +20,8 @@
 bool may_run(const placement_request& request,
              const placement_candidate& candidate)
 {
+    if (candidate.m_outside_homes)
+        return false;
     if (!candidate.m_has_idle_connection && !candidate.m_can_connect)
         return false;
     if (candidate.m_primary)
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -44,6 +44,8 @@
         candidate.m_primary = is_primary;
         candidate.m_same_failure_domain =
             endpoint.m_entry.m_failure_domain == m_options.m_failure_domain;
+        candidate.m_outside_homes = !m_options.m_regions.may_serve(
+            endpoint.m_entry.m_failure_domain, who.m_homes);
         if (now - endpoint.m_position_at < m_options.m_position_validity)
             candidate.m_position = endpoint.m_position;
         candidate.m_avoided = endpoint.m_failures.is_avoided(now);
@@ -88,15 +90,45 @@
         wait(who, now);
         return false;
     }
+    refuse_unplaced(who, *group, request, std::move(choices), now);
+    return true;
+}
+
+// No candidate may run the statement, with or without a free connection.
+void statement_runner::refuse_unplaced(session& who, const group_state& group,
+                                       const placement_request& request,
+                                       std::vector<placement_candidate> choices,
+                                       base::instant now)
+{
+    const std::size_t count = choices.size();
+    for (auto& choice : choices)
+        choice.m_outside_homes = false;
+    if (const auto outside = choose_endpoint(request, choices))
+    {
+        m_metrics.counter("refused.home_regions").add();
+        m_log.info("no_endpoint_in_home_regions",
+                   {{"request", who.m_work->m_statement.m_id},
+                    {"organisation", who.m_organisation},
+                    {"group", group.m_id},
+                    {"primary_only", request.m_primary_only},
+                    {"outside", *outside},
+                    {"candidates", count}});
+        finish(who, rpc::statement_error::busy,
+               request.m_primary_only
+                   ? "the primary is outside the home regions"
+                   : "no endpoint in the home regions can run this",
+               now);
+        return;
+    }
     m_metrics.counter("refused.no_endpoint").add();
-    const auto newest = group->m_bounds.newest();
-    const auto primary = m_primaries.primary(group->m_id, now);
+    const auto newest = group.m_bounds.newest();
+    const auto primary = m_primaries.primary(group.m_id, now);
     m_log.info("no_endpoint",
                {{"request", who.m_work->m_statement.m_id},
-                {"group", group->m_id},
+                {"group", group.m_id},
                 {"primary", primary.value_or(base::endpoint_id())},
                 {"primary_only", request.m_primary_only},
-                {"candidates", choices.size()},
+                {"candidates", count},
                 {"log_end_age",
                  newest ? now - newest->m_sent : absl::InfiniteDuration()},
                 {"staleness", who.m_route.m_max_staleness}});
@@ -104,7 +136,6 @@
            request.m_primary_only ? "no primary is known"
                                   : "no endpoint is fresh enough",
            now);
-    return true;
 }
 
 void statement_runner::wait(session& who, base::instant now)
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -301,6 +301,11 @@
                              ? base::organisation_id()
                              : key->second;
     who.m_route = route->second;
+    const auto organisation =
+        m_configuration->m_organisations.find(who.m_organisation);
+    who.m_homes = {who.m_route.m_home_regions, {}};
+    if (organisation != m_configuration->m_organisations.end())
+        who.m_homes.m_organisation = organisation->second.m_home_regions;
     if (who.m_route.m_statement_timeout <= absl::ZeroDuration())
         who.m_route.m_statement_timeout = default_statement_timeout;
     return {};
--- a/lib/entry_settings/entry_settings.cpp
+++ b/lib/entry_settings/entry_settings.cpp
@@ -20,7 +20,9 @@
     return {{
         {"host",
          false,
-         {settings::name_key("id"), settings::name_key("failure_domain")}},
+         {settings::name_key("id"), settings::name_key("failure_domain"),
+          settings::name_key("region", "")}},
+        {"failure_domains", false, {}, settings::name_key("region")},
         {"listen",
          false,
          {address_key("callers"), address_key("probe"), address_key("peers"),
@@ -71,6 +73,10 @@
     result.m_host = base::host_id(view("host").text("id"));
     result.m_failure_domain =
         base::failure_domain_id(view("host").text("failure_domain"));
+    result.m_region = base::region_id(view("host").text("region"));
+    for (const auto& item : view("failure_domains").entries())
+        result.m_regions[base::failure_domain_id(item.m_key)] =
+            base::region_id(item.m_value);
     const auto listen = view("listen");
     result.m_callers_address = listen.text("callers");
     result.m_probe_address = listen.text("probe");
--- a/lib/settings/schema.cpp
+++ b/lib/settings/schema.cpp
@@ -174,6 +174,9 @@
 
 std::string keys_of(const section_rule& rule)
 {
+    if (rule.m_table)
+        return absl::StrCat("a name of 1 to ", longest_name,
+                            " letters, digits, `-`, `_` or `.`");
     if (rule.m_keys.empty())
         return "no keys";
     return absl::StrCat("one of ",
@@ -243,6 +246,8 @@
                      const section_rule& rule)
     {
         const auto* key = rule.find(item.m_key);
+        if (key == nullptr && rule.m_table && is_name(item.m_key))
+            key = &*rule.m_table;
         if (key == nullptr)
         {
             add(part, item.m_line, shown(item.m_key), "unknown", keys_of(rule));
@@ -422,6 +427,11 @@
     return item == nullptr ? line() : item->m_line;
 }
 
+std::vector<entry> section_view::entries() const
+{
+    return m_section == nullptr ? std::vector<entry>() : m_section->m_entries;
+}
+
 bool section_view::has(std::string_view key) const
 {
     return m_section != nullptr && m_section->find(key) != nullptr;
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -437,11 +437,16 @@
     fake_host(const std::string& name, fake_platform& platform,
               fake_clock& clock, std::uint64_t incarnation = 1,
               const base::failure_domain_id& domain = {})
-        : m_address(name + ":1"), m_store(platform, clock),
+        : fake_host(options(name, name + ":1", incarnation, domain), platform,
+                    clock)
+    {
+    }
+    fake_host(entry::host_options options, fake_platform& platform,
+              fake_clock& clock)
+        : m_address(options.m_fleet.m_address), m_store(platform, clock),
           m_promotions(platform),
-          m_host(options(name, m_address, incarnation, domain),
-                 {clock, m_sessions, m_endpoints, m_store, m_promotions,
-                  m_datagrams, m_metrics})
+          m_host(std::move(options), {clock, m_sessions, m_endpoints, m_store,
+                                      m_promotions, m_datagrams, m_metrics})
     {
     }
 
--- a/unittests/entry_settings/entry_settings_test.cpp
+++ b/unittests/entry_settings/entry_settings_test.cpp
@@ -33,6 +33,39 @@
     cr_assert(parsed.has_value());
     cr_assert_eq(parsed->m_stop_limit, absl::Seconds(6));
     cr_assert_eq(parsed->m_largest_sessions, 3500);
+    cr_assert(parsed->m_region.empty());
+    cr_assert(parsed->m_regions.empty());
+}
+
+// Without the regions of failure domains, home regions would exclude every
+// endpoint.
+Test(entry_settings, regions_of_the_host_and_its_failure_domains_are_read)
+{
+    const auto parsed = entry_settings::parse(
+        with("failure_domain = d\n",
+             "failure_domain = d\nregion = north\n[failure_domains]\n"
+             "d = north\nd.2 = south\n"),
+        "f");
+    cr_assert(parsed.has_value());
+    cr_assert_eq(parsed->m_region.str(), "north");
+    cr_assert_eq(parsed->m_regions.size(), 2);
+    cr_assert_eq(
+        parsed->m_regions.at(magnoliastack::base::failure_domain_id("d.2"))
+            .str(),
+        "south");
+}
+
+// The platform leaves the value and the table empty where a deployment has no
+// regions.
+Test(entry_settings, a_deployment_without_regions_is_accepted)
+{
+    const auto parsed = entry_settings::parse(
+        with("failure_domain = d\n",
+             "failure_domain = d\nregion =\n[failure_domains]\n"),
+        "f");
+    cr_assert(parsed.has_value());
+    cr_assert(parsed->m_region.empty());
+    cr_assert(parsed->m_regions.empty());
 }
 
 Test(entry_settings, each_wrong_file_gives_one_line_with_its_place)
@@ -48,6 +81,10 @@
         {with("stop = 6s", "stops = 6s"), "stops"},
         {with("[limits]", "[limit]"), "limit"},
         {with("stop = 6s", "sessions = 0"), "sessions"},
+        {with("[limits]", "[failure_domains]\nd = a b\n[limits]"), "d"},
+        {with("[limits]", "[failure_domains]\nd x = a\n[limits]"), "d x"},
+        {with("[limits]", "[failure_domains]\nd =\n[limits]"), "d"},
+        {with("[limits]", "[failure_domains]\nd = a\nd = b\n[limits]"), "d"},
         {with("store = 10.0.0.9:5", "store = 10.0.0.9"), "store"},
     };
     for (const auto& [text, word] : wrong)
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -58,6 +58,7 @@
     entry.m_slots = 4;
     entry.m_leaving = true;
     entry.m_started_unix_ms = 123456789;
+    entry.m_cold_left = absl::Milliseconds(2500);
     return entry;
 }
 
@@ -73,9 +74,12 @@
     route.m_statement_timeout = absl::Seconds(1);
     route.m_max_staleness = absl::Milliseconds(2500);
     route.m_priority = 2;
+    route.m_home_regions = {base::region_id("n"), base::region_id("s")};
+    result->m_groups[group].m_cold_rate = 20;
     const base::organisation_id who("souq");
     result->m_keys["key-1"] = who;
     result->m_organisations[who] = {who, 12.5, 30};
+    result->m_organisations[who].m_home_regions = {base::region_id("s")};
     result->m_idle_transaction = absl::Seconds(3);
     return result;
 }
@@ -147,6 +151,12 @@
     cr_assert_float_eq(limits.m_burst, 30, 1e-9);
     cr_assert_eq(told.m_groups.at(base::group_id("g")).m_max_connections, 180);
     cr_assert(told.m_idle_transaction == absl::Seconds(3));
+    cr_assert(route.m_home_regions ==
+              sent->m_routes.at("stock").m_home_regions);
+    cr_assert(limits.m_home_regions ==
+              std::set<base::region_id>{base::region_id("s")});
+    cr_assert_float_eq(told.m_groups.at(base::group_id("g")).m_cold_rate, 20,
+                       1e-9);
 }
 
 Test(report, endpoints_arrive_as_they_were_sent)
--- a/unittests/platform/codec_test.cpp
+++ b/unittests/platform/codec_test.cpp
@@ -108,6 +108,31 @@
                  21);
 }
 
+// Homes and cold rates that are lost on the way would be served as if none were
+// declared.
+Test(documents, home_regions_and_cold_rates_are_decoded)
+{
+    const auto parsed = parse_configuration(
+        R"({"version":7,"routes":[{"name":"r","host":"db","kind":"bounded",)"
+        R"("service":"g","home_regions":["n","s"]}],"services":[{"name":"g",)"
+        R"("cold_per_s":20}],"tenants":[{"name":"t","home_regions":["s",4]}]})");
+    cr_assert(parsed.has_value());
+    const std::set<base::region_id> both = {base::region_id("n"),
+                                            base::region_id("s")};
+    cr_assert(parsed->m_routes.at("db").m_home_regions == both);
+    const auto& who = parsed->m_organisations.at(base::organisation_id("t"));
+    cr_assert(who.m_home_regions ==
+              std::set<base::region_id>{base::region_id("s")});
+    cr_assert_float_eq(parsed->m_groups.at(base::group_id("g")).m_cold_rate, 20,
+                       1e-9);
+    const auto entry = parse_endpoint_entry(
+        "i-1", R"({"service":"g","addr":"10.0.0.9:80","zone":"z","slots":3,)"
+               R"("state":"ready","db_role":"replica","seq":4,)"
+               R"("cold_left_ms":2500})");
+    cr_assert(entry.has_value());
+    cr_assert(entry->m_cold_left == absl::Milliseconds(2500));
+}
+
 Test(documents, an_entry_of_another_writer_names_no_endpoint)
 {
     const std::string good =
