Keep all hosts together within the rate of a cold endpoint

Cause: an endpoint is slow after its start, and every host sent to it as to any other one.

Change: of the members, the first four in the endpoint's own rendezvous order send to it while it is cold, each with a token bucket of its part of cold_per_s and a burst of 1 (admission::cold_gate, cold_division). Every request and every new connection takes a token; what a running statement or transaction still needs waits for one each and counts as not sent until then. The order goes by the members' rows, and only hosts that may give out tokens send: a host that is cut off stops before others mark it, and one that joins starts when all count it. A promotion prefers an endpoint that is not cold, after a failure only among equal logs.

Ruled out: the order of the hosts that are heard, since the parts of a partitioned fleet would choose four each. Dividing by the number of members at once, since the first hosts of a fleet that starts take themselves for the only ones.

--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -2,6 +2,7 @@
 #ifndef MAGNOLIASTACK_ENTRY_GROUP_STATE_HPP
 #define MAGNOLIASTACK_ENTRY_GROUP_STATE_HPP
 
+#include "magnoliastack/admission/cold_gate.hpp"
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/endpoint_entry.hpp"
 #include "magnoliastack/entry/endpoint_pool.hpp"
@@ -29,6 +30,13 @@
     unreachable,
 };
 
+// A request whose connection is open, but whose endpoint is cold.
+struct unsent_request
+{
+    base::connection_generation m_connection;
+    rpc::endpoint_request m_request;
+};
+
 // One endpoint at this host.
 struct endpoint_state
 {
@@ -41,6 +49,9 @@
     // Moving average of the time of an answer.
     absl::Duration m_answer_time;
     failure_average m_failures;
+    admission::cold_gate m_cold;
+    // Requests that wait for a token of m_cold, oldest first.
+    std::deque<unsent_request> m_unsent;
     // Last message, and the oldest request that has had none since.
     base::instant m_heard;
     std::optional<base::instant> m_waiting_since;
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -142,6 +142,7 @@
 private:
     void follow_isolation(base::instant now);
     void apply_endpoints(base::instant now);
+    void apply_cold_shares(base::instant now);
     [[nodiscard]] std::size_t even_part(const catalogue::group& group) const;
     [[nodiscard]] std::map<base::group_id, std::size_t>
     connection_shares() const;
@@ -161,6 +162,7 @@
     std::optional<base::instant> m_isolated_since;
     std::optional<base::instant> m_draining_since;
     base::instant m_next_division;
+    admission::cold_division m_cold;
 };
 
 } // namespace magnoliastack::entry
--- a/include/magnoliastack/entry/placement.hpp
+++ b/include/magnoliastack/entry/placement.hpp
@@ -13,14 +13,25 @@
 namespace magnoliastack::entry
 {
 
+// Why an endpoint may not run the statement, whatever else is there.
+enum class exclusion
+{
+    none,
+    // Its failure domain is in none of the statement's home regions.
+    outside_homes,
+    // It is cold, and other hosts send to it.
+    cold,
+};
+
 // An endpoint that could run the statement.
 struct placement_candidate
 {
     base::endpoint_id m_endpoint;
     bool m_primary = false;
     bool m_same_failure_domain = false;
-    // Its failure domain is in none of the statement's home regions.
-    bool m_outside_homes = false;
+    exclusion m_excluded = exclusion::none;
+    // It takes no further work just now.
+    bool m_saturated = false;
     // Last log point that it has shown.
     std::optional<base::log_point> m_position;
     // Statements and transactions of this host on it.
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -108,6 +108,14 @@
                        const std::map<base::group_id, std::size_t>& shares,
                        base::instant now);
 
+    // Sets this host's part in the requests to cold endpoints. Call it every
+    // 50 ms, and before set_endpoints.
+    using cold_shares = std::map<base::endpoint_id, admission::cold_share>;
+    void set_cold_shares(cold_shares shares, base::instant now);
+    // True while the endpoint is slow after its start.
+    [[nodiscard]] bool is_cold(const base::endpoint_id& endpoint,
+                               base::instant now) const;
+
     // Runs the session's m_work; runner_events::work_finished follows, perhaps
     // from within the call.
     void submit(session& who, base::instant now);
@@ -196,6 +204,9 @@
     void wait(session& who, base::instant now);
     [[nodiscard]] const endpoint_state*
     find_endpoint(const base::endpoint_id& endpoint) const;
+    void follow_cold(endpoint_state& endpoint,
+                     const catalogue::endpoint_entry& entry, bool added,
+                     base::instant now);
     void forgive_pause(base::instant now);
     [[nodiscard]] placement_request requirements(const session& who,
                                                  const group_state& group,
@@ -206,8 +217,13 @@
                                                 base::instant now);
     void refuse_unplaced(session& who, const group_state& group,
                          const placement_request& request,
-                         std::vector<placement_candidate> choices,
+                         const std::vector<placement_candidate>& choices,
                          base::instant now);
+    void refuse_excluded(session& who, const group_state& group,
+                         const placement_request& request,
+                         const std::vector<placement_candidate>& choices,
+                         const base::endpoint_id& excluded, base::instant now);
+    void send_unsent(endpoint_state& endpoint, base::instant now);
     void use(session& who, endpoint_state& endpoint, base::instant now);
     connection& open(endpoint_state& endpoint,
                      const base::organisation_id& organisation,
@@ -272,6 +288,7 @@
     absl::flat_hash_map<base::connection_generation, control_request>
         m_controls;
     std::map<std::pair<bool, std::string>, std::string> m_prepared_names;
+    cold_shares m_cold_shares;
     base::organisation_id m_own_organisation;
     base::connection_generation m_last_connection;
     std::optional<base::instant> m_last_tick;
--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -85,6 +86,8 @@
     bool m_primary_answers = false;
     // Endpoints that could lead: listed, not leaving, answering.
     std::vector<base::endpoint_id> m_candidates;
+    // Those of them that are slow after their start.
+    std::set<base::endpoint_id> m_cold;
     // Bounds of the store's time now.
     rpc::store_instant m_store_earliest;
     rpc::store_instant m_store_latest;
@@ -160,6 +163,9 @@
                      base::instant now);
     [[nodiscard]] std::optional<base::endpoint_id>
     best_candidate(const promotion_inputs& inputs) const;
+    [[nodiscard]] bool is_better(const base::endpoint_id& one,
+                                 const base::endpoint_id& other,
+                                 const promotion_inputs& inputs) const;
     [[nodiscard]] bool has_caught_up(const base::endpoint_id& candidate,
                                      const promotion_inputs& inputs) const;
 
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -144,6 +144,9 @@
         for (const auto& entry : group.m_entries)
             if (entry.m_id == given.m_primary && !entry.m_leaving)
                 given.m_candidates.push_back(entry.m_id);
+    for (const auto& id : given.m_candidates)
+        if (m_runner->is_cold(id, now))
+            given.m_cold.insert(id);
     given.m_store_earliest =
         m_store_clock.earliest(now).value_or(rpc::store_instant());
     given.m_store_latest =
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -61,6 +61,7 @@
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
     m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
     m_follower.tick(now);
+    apply_cold_shares(now);
     m_runner.tick(now);
     m_fleet.tick(m_follower.is_reaching_store(), now);
     m_service.tick(now);
@@ -192,9 +193,36 @@
     m_next_division =
         now + (m_homes.is_large_fleet() ? m_options.m_large_division_interval
                                         : m_options.m_division_interval);
+    apply_cold_shares(now);
     m_runner.set_endpoints(m_entries, connection_shares(), now);
 }
 
+// The order of an endpoint's senders goes by the members' rows and not by who
+// is heard: parts of a fleet that do not hear each other choose the same hosts.
+void host::apply_cold_shares(base::instant now)
+{
+    const fleet::member_book& members = m_fleet.members();
+    m_cold.set_members(members.size(), now);
+    const auto& configuration = m_service.configuration();
+    if (!configuration)
+        return;
+    statement_runner::cold_shares shares;
+    for (const auto& entry : m_entries)
+    {
+        if (entry.m_cold_left <= absl::ZeroDuration())
+            continue;
+        const auto group = configuration->m_groups.find(entry.m_group);
+        if (group == configuration->m_groups.end() ||
+            group->second.m_cold_rate <= 0)
+            continue;
+        shares[entry.m_id] =
+            m_cold.share(group->second.m_cold_rate,
+                         members.place("cold/" + entry.m_id.str(), false),
+                         m_gate.may_use(), now);
+    }
+    m_runner.set_cold_shares(std::move(shares), now);
+}
+
 // Hosts take the rest that the division leaves in an order of their own for
 // each group, so that together they never keep more than the endpoint accepts.
 std::size_t host::even_part(const catalogue::group& group) const
--- a/lib/entry/placement.cpp
+++ b/lib/entry/placement.cpp
@@ -20,7 +20,7 @@
 bool may_run(const placement_request& request,
              const placement_candidate& candidate)
 {
-    if (candidate.m_outside_homes)
+    if (candidate.m_excluded != exclusion::none || candidate.m_saturated)
         return false;
     if (!candidate.m_has_idle_connection && !candidate.m_can_connect)
         return false;
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -373,6 +373,10 @@
     session* who = owner_of(item);
     const auto number = item.m_number;
     const base::endpoint_id endpoint = item.m_endpoint;
+    // A statement that still waited for the cold endpoint was not sent.
+    if (who != nullptr && who->m_work && who->m_work->m_connection == number &&
+        item.m_unsent > 0)
+        who->m_work->m_stage = work_stage::preparing;
     close(item);
     if (who == nullptr)
         return;
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -17,7 +17,7 @@
 bool owes_answer(endpoint_state& endpoint)
 {
     for (const connection* item : endpoint.m_pool.all())
-        if (!item->m_open || !item->m_awaited.empty())
+        if (!item->m_open || item->m_awaited.size() > item->m_unsent)
             return true;
     return false;
 }
@@ -45,6 +45,7 @@
             endpoint.m_failures = failure_average();
             m_log.info("endpoint_restarted", {{"endpoint", entry.m_id}});
         }
+        follow_cold(endpoint, entry, added, now);
         if (added)
             m_log.info("endpoint_added", {{"endpoint", entry.m_id},
                                           {"group", entry.m_group},
@@ -89,6 +90,49 @@
         place_waiting(id, now);
 }
 
+// The time that is left counts from the entry that told it first.
+void statement_runner::follow_cold(endpoint_state& endpoint,
+                                   const catalogue::endpoint_entry& entry,
+                                   bool added, base::instant now)
+{
+    const bool restarted =
+        endpoint.m_entry.m_started_unix_ms != entry.m_started_unix_ms;
+    if (added || restarted || endpoint.m_entry.m_cold_left != entry.m_cold_left)
+        endpoint.m_cold.declared(entry.m_cold_left, now);
+    const auto share = m_cold_shares.find(entry.m_id);
+    endpoint.m_cold.set_share(
+        share == m_cold_shares.end() ? admission::cold_share() : share->second,
+        now);
+    if ((added || restarted) && endpoint.m_cold.is_cold(now))
+    {
+        m_metrics.counter("cold.endpoints").add();
+        m_log.info("endpoint_cold",
+                   {{"endpoint", entry.m_id},
+                    {"left", entry.m_cold_left},
+                    {"sends", !endpoint.m_cold.is_closed(now)},
+                    {"rate", static_cast<std::int64_t>(share->second.m_rate)},
+                    {"senders", share->second.m_senders}});
+    }
+    // A host that may not try the endpoint goes by its new entry.
+    if (!added && restarted && endpoint.m_cold.is_closed(now))
+        endpoint.m_health = endpoint_health::serving;
+}
+
+void statement_runner::set_cold_shares(cold_shares shares, base::instant now)
+{
+    m_cold_shares = std::move(shares);
+    for (const auto& [id, share] : m_cold_shares)
+        if (endpoint_state* endpoint = find_endpoint(id))
+            endpoint->m_cold.set_share(share, now);
+}
+
+bool statement_runner::is_cold(const base::endpoint_id& id,
+                               base::instant now) const
+{
+    const endpoint_state* endpoint = find_endpoint(id);
+    return endpoint != nullptr && endpoint->m_cold.is_cold(now);
+}
+
 void statement_runner::drop_connections(const base::endpoint_id& id,
                                         base::instant now)
 {
@@ -158,6 +202,7 @@
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
         {
             check_silence(endpoint, now);
+            send_unsent(endpoint, now);
             trim(endpoint);
             group.m_troubled |= endpoint.is_troubled();
         }
@@ -310,6 +355,8 @@
         return;
     if (m_own_organisation.empty())
         return;
+    if (endpoint.m_cold.is_closed(now) || !endpoint.m_cold.has_token(now))
+        return;
     m_metrics.counter("endpoints.probed").add();
     open(endpoint, m_own_organisation, now);
 }
@@ -347,6 +394,12 @@
     endpoint_state* endpoint = find_endpoint(id);
     if (endpoint == nullptr)
         return;
+    // Who asks asks again; requests that pile up would be sent late.
+    if (!endpoint->m_unsent.empty() || !endpoint->m_cold.has_token(now))
+    {
+        m_metrics.counter("cold.control_dropped").add();
+        return;
+    }
     connection* item = endpoint->m_pool.oldest_idle();
     if (item == nullptr)
         item = &open(*endpoint, m_own_organisation, now);
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -44,11 +44,17 @@
         candidate.m_primary = is_primary;
         candidate.m_same_failure_domain =
             endpoint.m_entry.m_failure_domain == m_options.m_failure_domain;
-        candidate.m_outside_homes = !m_options.m_regions.may_serve(
-            endpoint.m_entry.m_failure_domain, who.m_homes);
+        if (!m_options.m_regions.may_serve(endpoint.m_entry.m_failure_domain,
+                                           who.m_homes))
+            candidate.m_excluded = exclusion::outside_homes;
+        else if (endpoint.m_cold.is_closed(now))
+            candidate.m_excluded = exclusion::cold;
+        candidate.m_saturated =
+            !endpoint.m_unsent.empty() || !endpoint.m_cold.has_token(now);
         if (now - endpoint.m_position_at < m_options.m_position_validity)
             candidate.m_position = endpoint.m_position;
-        candidate.m_avoided = endpoint.m_failures.is_avoided(now);
+        candidate.m_avoided =
+            endpoint.m_failures.is_avoided(now) || endpoint.m_cold.is_cold(now);
         candidate.m_in_flight = endpoint.m_pool.busy();
         candidate.m_slots = endpoint.m_entry.m_slots;
         candidate.m_answer_time = endpoint.m_answer_time;
@@ -84,40 +90,30 @@
     }
     // Would there be an endpoint if it had a free connection?
     for (auto& choice : choices)
+    {
         choice.m_can_connect = true;
+        choice.m_saturated = false;
+    }
     if (choose_endpoint(request, choices))
     {
         wait(who, now);
         return false;
     }
-    refuse_unplaced(who, *group, request, std::move(choices), now);
+    refuse_unplaced(who, *group, request, choices, now);
     return true;
 }
 
 // No candidate may run the statement, with or without a free connection.
-void statement_runner::refuse_unplaced(session& who, const group_state& group,
-                                       const placement_request& request,
-                                       std::vector<placement_candidate> choices,
-                                       base::instant now)
+void statement_runner::refuse_unplaced(
+    session& who, const group_state& group, const placement_request& request,
+    const std::vector<placement_candidate>& choices, base::instant now)
 {
-    const std::size_t count = choices.size();
-    for (auto& choice : choices)
-        choice.m_outside_homes = false;
-    if (const auto outside = choose_endpoint(request, choices))
+    auto allowed = choices;
+    for (auto& choice : allowed)
+        choice.m_excluded = exclusion::none;
+    if (const auto excluded = choose_endpoint(request, allowed))
     {
-        m_metrics.counter("refused.home_regions").add();
-        m_log.info("no_endpoint_in_home_regions",
-                   {{"request", who.m_work->m_statement.m_id},
-                    {"organisation", who.m_organisation},
-                    {"group", group.m_id},
-                    {"primary_only", request.m_primary_only},
-                    {"outside", *outside},
-                    {"candidates", count}});
-        finish(who, rpc::statement_error::busy,
-               request.m_primary_only
-                   ? "the primary is outside the home regions"
-                   : "no endpoint in the home regions can run this",
-               now);
+        refuse_excluded(who, group, request, choices, *excluded, now);
         return;
     }
     m_metrics.counter("refused.no_endpoint").add();
@@ -128,7 +124,7 @@
                 {"group", group.m_id},
                 {"primary", primary.value_or(base::endpoint_id())},
                 {"primary_only", request.m_primary_only},
-                {"candidates", count},
+                {"candidates", choices.size()},
                 {"log_end_age",
                  newest ? now - newest->m_sent : absl::InfiniteDuration()},
                 {"staleness", who.m_route.m_max_staleness}});
@@ -138,6 +134,40 @@
            now);
 }
 
+// `excluded` could run the statement, were it not for its exclusion.
+void statement_runner::refuse_excluded(
+    session& who, const group_state& group, const placement_request& request,
+    const std::vector<placement_candidate>& choices,
+    const base::endpoint_id& excluded, base::instant now)
+{
+    const auto found = std::find_if(choices.begin(), choices.end(),
+                                    [&excluded](const placement_candidate& item)
+                                    {
+                                        return item.m_endpoint == excluded;
+                                    });
+    const bool cold =
+        found != choices.end() && found->m_excluded == exclusion::cold;
+    m_metrics.counter(cold ? "refused.cold_endpoint" : "refused.home_regions")
+        .add();
+    m_log.info(cold ? "endpoint_cold_at_other_hosts"
+                    : "no_endpoint_in_home_regions",
+               {{"request", who.m_work->m_statement.m_id},
+                {"organisation", who.m_organisation},
+                {"group", group.m_id},
+                {"primary_only", request.m_primary_only},
+                {"excluded", excluded},
+                {"candidates", choices.size()}});
+    if (cold)
+        finish(who, rpc::statement_error::busy,
+               "the endpoint has just started and other hosts send to it", now);
+    else
+        finish(who, rpc::statement_error::busy,
+               request.m_primary_only
+                   ? "the primary is outside the home regions"
+                   : "no endpoint in the home regions can run this",
+               now);
+}
+
 void statement_runner::wait(session& who, base::instant now)
 {
     who.m_work->m_stage = work_stage::waiting;
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -146,6 +146,7 @@
         m_last_connection, endpoint.m_entry.m_id, organisation, now);
     m_connections[item.m_number] = &item;
     m_metrics.counter("connections.opened").add();
+    endpoint.m_cold.try_take(now);
     m_link.open(item.m_number,
                 {endpoint.m_entry.m_address, endpoint.m_entry.m_group,
                  organisation, endpoint.m_entry.m_id});
@@ -243,11 +244,48 @@
     on.m_awaited.push_back({what, now});
     on.m_used = now;
     endpoint_state* endpoint = find_endpoint(on.m_endpoint);
+    if (endpoint != nullptr &&
+        (!endpoint->m_unsent.empty() || !endpoint->m_cold.try_take(now)))
+    {
+        m_metrics.counter("cold.delayed").add();
+        ++on.m_unsent;
+        endpoint->m_unsent.push_back({on.m_number, request});
+        return;
+    }
     if (endpoint != nullptr && !endpoint->m_waiting_since)
         endpoint->m_waiting_since = now;
     m_link.send(on.m_number, request);
 }
 
+// Sends what waited for a token. Its time counts from now on.
+void statement_runner::send_unsent(endpoint_state& endpoint, base::instant now)
+{
+    while (!endpoint.m_unsent.empty())
+    {
+        connection* on = find(endpoint.m_unsent.front().m_connection);
+        if (on == nullptr)
+        {
+            endpoint.m_unsent.pop_front();
+            continue;
+        }
+        if (!endpoint.m_cold.try_take(now))
+            return;
+        const auto request = std::move(endpoint.m_unsent.front().m_request);
+        endpoint.m_unsent.pop_front();
+        pending_answer& awaited_now =
+            on->m_awaited[on->m_awaited.size() - on->m_unsent];
+        --on->m_unsent;
+        awaited_now.m_sent = now;
+        session* who = owner_of(*on);
+        if (awaited_now.m_what == awaited::statement && who != nullptr &&
+            who->m_work)
+            who->m_work->m_sent = now;
+        if (!endpoint.m_waiting_since)
+            endpoint.m_waiting_since = now;
+        m_link.send(on->m_number, request);
+    }
+}
+
 void statement_runner::release(connection& item, base::instant now)
 {
     item.m_owner.reset();
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -392,21 +392,31 @@
 promotion::best_candidate(const promotion_inputs& inputs) const
 {
     std::optional<base::endpoint_id> best;
-    const rpc::endpoint_report* best_report = nullptr;
     for (const auto& id : inputs.m_candidates)
-    {
-        const auto found = m_reports.find(id);
-        if (found == m_reports.end())
-            continue;
-        if (best_report != nullptr &&
-            !is_ahead(found->second.m_report, *best_report))
-            continue;
-        best = id;
-        best_report = &found->second.m_report;
-    }
+        if (m_reports.contains(id) && (!best || is_better(id, *best, inputs)))
+            best = id;
     return best;
 }
 
+// An endpoint that is not cold goes first within a term. In a planned change
+// its log catches up; after a failure it only decides between equal logs, since
+// a shorter log loses commits.
+bool promotion::is_better(const base::endpoint_id& one,
+                          const base::endpoint_id& other,
+                          const promotion_inputs& inputs) const
+{
+    const rpc::endpoint_report& first = m_reports.at(one).m_report;
+    const rpc::endpoint_report& second = m_reports.at(other).m_report;
+    const bool first_cold = inputs.m_cold.contains(one);
+    const bool same_log = !is_ahead(first, second) && !is_ahead(second, first);
+    const bool may_catch_up =
+        m_need == need::planned && first.m_term == second.m_term;
+    if (first_cold != inputs.m_cold.contains(other) &&
+        (same_log || may_catch_up))
+        return !first_cold;
+    return is_ahead(first, second);
+}
+
 bool promotion::has_caught_up(const base::endpoint_id& candidate,
                               const promotion_inputs& /*inputs*/) const
 {
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -138,6 +138,53 @@
     cr_assert_eq(promoted->m_endpoint, second);
 }
 
+// A cold primary takes a few requests a second only.
+Test(promotion, of_equal_logs_the_endpoint_that_is_not_cold_is_promoted)
+{
+    promotion_fixture f;
+    f.m_inputs.m_cold = {first};
+    f.reach_choice();
+    f.report(first, false, 1, 1, 95);
+    f.report(second, false, 1, 1, 95);
+    f.step();
+    const auto promoted = f.sent<promote_endpoint>();
+    cr_assert(promoted.has_value());
+    cr_assert_eq(promoted->m_endpoint, second);
+}
+
+// After a failure a shorter log loses acknowledged commits, which is worse than
+// a slow start.
+Test(promotion, a_cold_endpoint_with_more_commits_is_promoted_after_a_failure)
+{
+    promotion_fixture f;
+    f.m_inputs.m_cold = {second};
+    f.reach_choice();
+    f.report(first, false, 1, 1, 90);
+    f.report(second, false, 1, 1, 95);
+    f.step();
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, second);
+}
+
+// In a planned change the other log catches up, so a cold endpoint is no better
+// for being ahead.
+Test(promotion, a_planned_change_passes_over_a_cold_endpoint)
+{
+    promotion_fixture f;
+    f.m_inputs.m_need = need::planned;
+    f.m_inputs.m_cold = {second};
+    f.reach_choice();
+    f.report(old_primary, true, 1, 1, 95);
+    f.report(first, false, 1, 1, 90);
+    f.report(second, false, 1, 1, 95);
+    f.step();
+    cr_assert_not(f.sent<promote_endpoint>().has_value());
+    f.report(first, false, 1, 1, 95);
+    f.step();
+    const auto promoted = f.sent<promote_endpoint>();
+    cr_assert(promoted.has_value());
+    cr_assert_eq(promoted->m_endpoint, first);
+}
+
 // Found by hunt, trouble-2 seed 1060704563503: an old primary of term 1 that
 // had been cut off while term 2 went on still called itself primary, was
 // chosen for that, and its log lacked what term 2 had acknowledged.
