Pace endpoints that have just started or recovered

Cause: an endpoint that started, restarted or was reached again got the work of all callers at once, and none of it was answered in time.

Change: admission::concurrency_limit can warm up: the limit is 1 and grows by one with each good answer that found it used, so it doubles in an answer time; answers whose average is above twice the best, busy refusals and timeouts shrink it to 0.7, at most once an answer time. It holds until it reaches the endpoint's slots.

Ruled out: counting idle transactions as in flight, since one would keep an endpoint to itself; pacing all endpoints when the host itself starts; comparing single answer times, since statements differ.

--- a/include/magnoliastack/admission/concurrency_limit.hpp
+++ b/include/magnoliastack/admission/concurrency_limit.hpp
@@ -24,10 +24,21 @@
     // A decrease takes a round trip to show at the endpoint; a second one
     // before that would react to the same queue twice.
     absl::Duration m_decrease_interval = absl::Milliseconds(100);
+    // Factor for a refusal, or for answers that are too slow, while the
+    // endpoint warms up.
+    double m_warm_up_decrease = 0.7;
+    // Answers are too slow above this multiple of the best. Statements of
+    // several kinds differ, so their average is compared.
+    double m_slow_factor = 2;
+    double m_answer_weight = 0.25;
+    // The best grows by this with each answer, so that an endpoint that stays
+    // slower than before is measured by what it does now.
+    double m_best_growth = 1.01;
 };
 
-// Grows additively while the endpoint's queue is at most one statement per
-// slot, shrinks multiplicatively above that.
+// With reports of the endpoint's queue, the limit grows additively while the
+// queue is at most one statement per slot, and shrinks multiplicatively above
+// that. Without reports, answers tell how an endpoint that warms up does.
 class concurrency_limit
 {
 public:
@@ -38,14 +49,41 @@
     void reported(std::uint32_t queue_length, std::uint32_t slots,
                   std::uint32_t in_flight, base::instant now);
 
+    // The endpoint has just started or recovered: the limit is 1 and doubles
+    // with each answer time until it has reached `target`, while the endpoint
+    // answers well.
+    void warm_up(std::uint32_t target, base::instant now);
+    // True until the target is reached; the limit holds only as long.
+    [[nodiscard]] bool is_warming_up() const
+    {
+        return m_target > 0;
+    }
+    // A statement was answered; `in_flight` includes it.
+    void answered(absl::Duration took, std::uint32_t in_flight,
+                  base::instant now);
+    // The endpoint refused a statement as busy or did not answer it in time.
+    void refused(base::instant now);
+    // True when another request may be sent while the endpoint warms up.
+    [[nodiscard]] bool has_room(std::uint32_t in_flight) const
+    {
+        return !is_warming_up() || in_flight < limit();
+    }
+
     // Requests that may be in flight.
     [[nodiscard]] std::uint32_t limit() const;
 
 private:
+    void shrink(double factor, absl::Duration interval, base::instant now);
+
     concurrency_limit_options m_options;
     double m_limit;
     base::instant m_decreased;
     bool m_has_decreased = false;
+    // Limit at which the endpoint is warm; 0 while it is.
+    std::uint32_t m_target = 0;
+    // Average of the answer times, and the least that it was.
+    absl::Duration m_recent;
+    absl::Duration m_best;
 };
 
 } // namespace magnoliastack::admission
--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -3,6 +3,7 @@
 #define MAGNOLIASTACK_ENTRY_GROUP_STATE_HPP
 
 #include "magnoliastack/admission/cold_gate.hpp"
+#include "magnoliastack/admission/concurrency_limit.hpp"
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/endpoint_entry.hpp"
 #include "magnoliastack/entry/endpoint_pool.hpp"
@@ -49,6 +50,7 @@
     // Moving average of the time of an answer.
     absl::Duration m_answer_time;
     failure_average m_failures;
+    admission::concurrency_limit m_pace;
     admission::cold_gate m_cold;
     // Requests that wait for a token of m_cold, oldest first.
     std::deque<unsent_request> m_unsent;
@@ -63,6 +65,17 @@
     bool m_leaving = false;
     bool m_listed = true;
 
+    // Connections that open or have a request without its answer. A
+    // transaction that waits for its caller does not count.
+    [[nodiscard]] std::uint32_t in_flight()
+    {
+        std::uint32_t count = 0;
+        for (const connection* item : m_pool.all())
+            if (!item->m_open || !item->m_awaited.empty())
+                ++count;
+        return count;
+    }
+
     // True while it does not answer or fails what it runs.
     [[nodiscard]] bool is_troubled() const
     {
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -207,6 +207,12 @@
     void follow_cold(endpoint_state& endpoint,
                      const catalogue::endpoint_entry& entry, bool added,
                      base::instant now);
+    void warm_up(endpoint_state& endpoint,
+                 const catalogue::endpoint_entry& entry, const char* cause,
+                 base::instant now);
+    void follow_pace(endpoint_state& endpoint,
+                     std::optional<rpc::statement_error> error,
+                     absl::Duration took, base::instant now);
     void forgive_pause(base::instant now);
     [[nodiscard]] placement_request requirements(const session& who,
                                                  const group_state& group,
@@ -289,6 +295,7 @@
         m_controls;
     std::map<std::pair<bool, std::string>, std::string> m_prepared_names;
     cold_shares m_cold_shares;
+    bool m_has_endpoints = false;
     base::organisation_id m_own_organisation;
     base::connection_generation m_last_connection;
     std::optional<base::instant> m_last_tick;
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -177,6 +177,29 @@
     if (endpoint != nullptr)
         endpoint_answered(*endpoint, now);
     answer_ended(*item, state, position, now);
+    // A statement of a transaction leaves room too, but frees no connection.
+    if (endpoint != nullptr && endpoint->m_pace.is_warming_up())
+        place_waiting(endpoint->m_entry.m_group, now);
+}
+
+// What a statement's end tells about an endpoint.
+void statement_runner::follow_pace(endpoint_state& endpoint,
+                                   std::optional<statement_error> error,
+                                   absl::Duration took, base::instant now)
+{
+    const bool was_down = endpoint.m_failures.down_since().has_value();
+    const bool bad =
+        error == statement_error::failed || error == statement_error::timeout;
+    endpoint.m_failures.ended(bad, now);
+    if (was_down && !endpoint.m_failures.down_since())
+        warm_up(endpoint, endpoint.m_entry, "succeeds", now);
+    const bool warming = endpoint.m_pace.is_warming_up();
+    if (error == statement_error::busy)
+        endpoint.m_pace.refused(now);
+    else if (!error)
+        endpoint.m_pace.answered(took, endpoint.in_flight() + 1, now);
+    if (warming && !endpoint.m_pace.is_warming_up())
+        m_log.info("endpoint_warm", {{"endpoint", endpoint.m_entry.m_id}});
 }
 
 void statement_runner::answer_ended(connection& on, transaction_state state,
@@ -235,6 +258,9 @@
     const statement_error error = *on.m_failure;
     on.m_failure.reset();
     const base::endpoint_id endpoint = on.m_endpoint;
+    endpoint_state* at = find_endpoint(endpoint);
+    if (at != nullptr && error == statement_error::busy)
+        at->m_pace.refused(now);
     const bool again = try_again(who, endpoint, to_string(error), now);
     on.m_owner.reset();
     m_metrics.counter(std::string("retried.begin.") + to_string(error)).add();
@@ -263,7 +289,7 @@
     const bool bad =
         error == statement_error::failed || error == statement_error::timeout;
     if (endpoint != nullptr)
-        endpoint->m_failures.ended(bad, now);
+        follow_pace(*endpoint, error, now - what.m_sent, now);
     if (endpoint != nullptr && !error)
         endpoint->m_answer_time =
             averaged(endpoint->m_answer_time, now - what.m_sent);
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -44,7 +44,11 @@
             endpoint.m_position.reset();
             endpoint.m_failures = failure_average();
             m_log.info("endpoint_restarted", {{"endpoint", entry.m_id}});
+            warm_up(endpoint, entry, "restarted", now);
         }
+        // For a host that starts all endpoints are new, and most are warm.
+        if (added && m_has_endpoints)
+            warm_up(endpoint, entry, "added", now);
         follow_cold(endpoint, entry, added, now);
         if (added)
             m_log.info("endpoint_added", {{"endpoint", entry.m_id},
@@ -59,6 +63,7 @@
         if (share != shares.end())
             endpoint.m_pool.set_share(share->second);
     }
+    m_has_endpoints = m_has_endpoints || !entries.empty();
     for (auto& [id, group] : m_groups)
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
         {
@@ -90,6 +95,17 @@
         place_waiting(id, now);
 }
 
+void statement_runner::warm_up(endpoint_state& endpoint,
+                               const catalogue::endpoint_entry& entry,
+                               const char* cause, base::instant now)
+{
+    endpoint.m_pace.warm_up(entry.m_slots, now);
+    m_metrics.counter("pacing.warm_ups").add();
+    m_log.info(
+        "endpoint_warming_up",
+        {{"endpoint", entry.m_id}, {"cause", cause}, {"slots", entry.m_slots}});
+}
+
 // The time that is left counts from the entry that told it first.
 void statement_runner::follow_cold(endpoint_state& endpoint,
                                    const catalogue::endpoint_entry& entry,
@@ -258,7 +274,10 @@
         session* who = owner_of(*item);
         m_metrics.counter("refused.statement_timeout").add();
         if (endpoint_state* endpoint = find_endpoint(item->m_endpoint))
+        {
             endpoint->m_failures.ended(true, now);
+            endpoint->m_pace.refused(now);
+        }
         work& what = *who->m_work;
         what.m_tried.resize(m_options.m_largest_tries);
         connection_lost(*item, now);
@@ -341,6 +360,8 @@
         endpoint.m_waiting_since = now;
     if (endpoint.m_health == endpoint_health::serving)
         return;
+    if (endpoint.m_health == endpoint_health::unreachable)
+        warm_up(endpoint, endpoint.m_entry, "reachable", now);
     endpoint.m_health = endpoint_health::serving;
     m_log.info("endpoint_reachable", {{"endpoint", endpoint.m_entry.m_id}});
     place_waiting(endpoint.m_entry.m_group, now);
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -50,7 +50,9 @@
         else if (endpoint.m_cold.is_closed(now))
             candidate.m_excluded = exclusion::cold;
         candidate.m_saturated =
-            !endpoint.m_unsent.empty() || !endpoint.m_cold.has_token(now);
+            !endpoint.m_unsent.empty() || !endpoint.m_cold.has_token(now) ||
+            (endpoint.m_pace.is_warming_up() &&
+             !endpoint.m_pace.has_room(endpoint.in_flight()));
         if (now - endpoint.m_position_at < m_options.m_position_validity)
             candidate.m_position = endpoint.m_position;
         candidate.m_avoided =
--- a/unittests/admission/admission_test.cpp
+++ b/unittests/admission/admission_test.cpp
@@ -9,6 +9,9 @@
 #include <random>
 #include <string>
 
+#include <algorithm>
+#include <vector>
+
 #include <criterion/criterion.h>
 
 namespace
@@ -144,6 +147,91 @@
     cr_assert_eq(limit.limit(), 1);
 }
 
+// Guards against a herd of hosts that keeps an endpoint slow after its restart.
+Test(concurrency_limit, a_restarted_endpoint_that_slows_down_gets_little)
+{
+    constexpr int hosts = 20;
+    constexpr std::uint32_t slots = 4;
+    std::vector<admission::concurrency_limit> limits(hosts);
+    // An answer takes longer by what waits for a slot.
+    const auto round = [&](int active, int ms)
+    {
+        std::uint32_t total = 0;
+        for (int host = 0; host < active; ++host)
+            total += std::min(limits[host].limit(), slots);
+        const auto took =
+            absl::Milliseconds(10) * std::max(1.0, total / double(slots));
+        for (int host = 0; host < active; ++host)
+            for (std::uint32_t count = limits[host].limit(); count > 0; --count)
+                limits[host].answered(took, limits[host].limit(), at_ms(ms));
+        return total;
+    };
+    for (auto& limit : limits)
+    {
+        for (int count = 0; count < 10; ++count)
+            limit.answered(absl::Milliseconds(10), 1, at_ms(count));
+        limit.warm_up(slots, at_ms(100));
+    }
+    std::uint32_t largest = 0;
+    for (int count = 4; count < 10; ++count)
+        largest = std::max(largest, round(hosts, 200 + count * 50));
+    cr_assert_leq(largest, hosts * 2, "%u in flight", largest);
+    // Few of them stay, and the endpoint answers well again.
+    for (int count = 0; count < 20; ++count)
+        round(2, 1'000 + count * 50);
+    cr_assert_not(limits[0].is_warming_up());
+}
+
+// Guards against a restarted endpoint that answers well and is left idle.
+Test(concurrency_limit, an_endpoint_that_answers_well_is_warm_after_few_answers)
+{
+    admission::concurrency_limit limit;
+    limit.warm_up(8, at_ms(0));
+    cr_assert(limit.has_room(0));
+    cr_assert_not(limit.has_room(1));
+    int rounds = 0;
+    for (; limit.is_warming_up(); ++rounds)
+    {
+        const auto present = limit.limit();
+        for (std::uint32_t count = 0; count < present; ++count)
+            limit.answered(absl::Milliseconds(10), limit.limit(),
+                           at_ms(rounds * 10));
+    }
+    cr_assert_eq(rounds, 3);
+    cr_assert(limit.has_room(100), "a warm endpoint has no limit");
+}
+
+// Guards against two reactions to one queue, and against growth that no answer
+// has justified.
+Test(concurrency_limit, a_refusal_shrinks_once_an_answer_time)
+{
+    admission::concurrency_limit limit;
+    limit.warm_up(64, at_ms(0));
+    for (int count = 0; count < 19; ++count)
+        limit.answered(absl::Milliseconds(10), limit.limit(), at_ms(count));
+    limit.answered(absl::Milliseconds(10), 1, at_ms(20));
+    cr_assert_eq(limit.limit(), 20);
+    limit.refused(at_ms(30));
+    limit.refused(at_ms(31));
+    cr_assert_eq(limit.limit(), 14);
+    limit.refused(at_ms(41));
+    cr_assert_eq(limit.limit(), 9);
+}
+
+// Guards against an endpoint that is slower for good and stays limited.
+Test(concurrency_limit, an_endpoint_that_stays_slower_gets_warm_at_last)
+{
+    admission::concurrency_limit limit;
+    limit.answered(absl::Milliseconds(10), 1, at_ms(0));
+    limit.warm_up(4, at_ms(0));
+    int answers = 0;
+    while (limit.is_warming_up() && answers < 1'000)
+        limit.answered(absl::Milliseconds(40), limit.limit(),
+                       at_ms(++answers * 40));
+    cr_assert_leq(answers, 100, "%d answers", answers);
+    cr_assert_geq(answers, 10, "%d answers", answers);
+}
+
 // Guards against retries that add more than 20 % to the traffic.
 Test(retry_budget, stays_below_a_fifth_of_the_traffic)
 {
