--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -150,6 +150,7 @@
     void log_drain(const char* event, base::instant now,
                    const char* reason = "planned_stop");
     void apply_endpoints(base::instant now);
+    void apply_cold_shares(base::instant now);
     [[nodiscard]] std::size_t even_part(const catalogue::group& group) const;
     [[nodiscard]] std::map<base::group_id, std::size_t>
     connection_shares() const;
@@ -174,6 +175,7 @@
     bool m_giving_up = false;
     bool m_drained = false;
     base::instant m_next_division;
+    admission::cold_division m_cold;
 };
 
 } // namespace magnoliastack::entry
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -17,7 +17,7 @@
 bool owes_answer(endpoint_state& endpoint)
 {
     for (const connection* item : endpoint.m_pool.all())
-        if (!item->m_open || !item->m_awaited.empty())
+        if (!item->m_open || item->m_awaited.size() > item->m_unsent)
             return true;
     return false;
 }
@@ -44,7 +44,12 @@
             endpoint.m_position.reset();
             endpoint.m_failures = failure_average();
             m_log.info("endpoint_restarted", {{"endpoint", entry.m_id}});
+            warm_up(endpoint, entry, "restarted", now);
         }
+        // For a host that starts all endpoints are new, and most are warm.
+        if (added && m_has_endpoints)
+            warm_up(endpoint, entry, "added", now);
+        follow_cold(endpoint, entry, added, now);
         if (added)
             m_log.info("endpoint_added", {{"endpoint", entry.m_id},
                                           {"group", entry.m_group},
@@ -58,6 +63,7 @@
         if (share != shares.end())
             endpoint.m_pool.set_share(share->second);
     }
+    m_has_endpoints = m_has_endpoints || !entries.empty();
     for (auto& [id, group] : m_groups)
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
         {
@@ -89,6 +95,60 @@
         place_waiting(id, now);
 }
 
+void statement_runner::warm_up(endpoint_state& endpoint,
+                               const catalogue::endpoint_entry& entry,
+                               const char* cause, base::instant now)
+{
+    endpoint.m_pace.warm_up(entry.m_slots, now);
+    m_metrics.counter("pacing.warm_ups").add();
+    m_log.info(
+        "endpoint_warming_up",
+        {{"endpoint", entry.m_id}, {"cause", cause}, {"slots", entry.m_slots}});
+}
+
+// The time that is left counts from the entry that told it first.
+void statement_runner::follow_cold(endpoint_state& endpoint,
+                                   const catalogue::endpoint_entry& entry,
+                                   bool added, base::instant now)
+{
+    const bool restarted =
+        endpoint.m_entry.m_started_unix_ms != entry.m_started_unix_ms;
+    if (added || restarted || endpoint.m_entry.m_cold_left != entry.m_cold_left)
+        endpoint.m_cold.declared(entry.m_cold_left, now);
+    const auto share = m_cold_shares.find(entry.m_id);
+    endpoint.m_cold.set_share(
+        share == m_cold_shares.end() ? admission::cold_share() : share->second,
+        now);
+    if ((added || restarted) && endpoint.m_cold.is_cold(now))
+    {
+        m_metrics.counter("cold.endpoints").add();
+        m_log.info("endpoint_cold",
+                   {{"endpoint", entry.m_id},
+                    {"left", entry.m_cold_left},
+                    {"sends", !endpoint.m_cold.is_closed(now)},
+                    {"rate", static_cast<std::int64_t>(share->second.m_rate)},
+                    {"senders", share->second.m_senders}});
+    }
+    // A host that may not try the endpoint goes by its new entry.
+    if (!added && restarted && endpoint.m_cold.is_closed(now))
+        endpoint.m_health = endpoint_health::serving;
+}
+
+void statement_runner::set_cold_shares(cold_shares shares, base::instant now)
+{
+    m_cold_shares = std::move(shares);
+    for (const auto& [id, share] : m_cold_shares)
+        if (endpoint_state* endpoint = find_endpoint(id))
+            endpoint->m_cold.set_share(share, now);
+}
+
+bool statement_runner::is_cold(const base::endpoint_id& id,
+                               base::instant now) const
+{
+    const endpoint_state* endpoint = find_endpoint(id);
+    return endpoint != nullptr && endpoint->m_cold.is_cold(now);
+}
+
 void statement_runner::drop_connections(const base::endpoint_id& id,
                                         base::instant now)
 {
@@ -158,6 +218,7 @@
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
         {
             check_silence(endpoint, now);
+            send_unsent(endpoint, now);
             trim(endpoint);
             group.m_troubled |= endpoint.is_troubled();
         }
@@ -213,7 +274,10 @@
         session* who = owner_of(*item);
         m_metrics.counter("refused.statement_timeout").add();
         if (endpoint_state* endpoint = find_endpoint(item->m_endpoint))
+        {
             endpoint->m_failures.ended(true, now);
+            endpoint->m_pace.refused(now);
+        }
         work& what = *who->m_work;
         what.m_tried.resize(m_options.m_largest_tries);
         connection_lost(*item, now);
@@ -296,6 +360,8 @@
         endpoint.m_waiting_since = now;
     if (endpoint.m_health == endpoint_health::serving)
         return;
+    if (endpoint.m_health == endpoint_health::unreachable)
+        warm_up(endpoint, endpoint.m_entry, "reachable", now);
     endpoint.m_health = endpoint_health::serving;
     m_log.info("endpoint_reachable", {{"endpoint", endpoint.m_entry.m_id}});
     place_waiting(endpoint.m_entry.m_group, now);
@@ -310,6 +376,8 @@
         return;
     if (m_own_organisation.empty())
         return;
+    if (endpoint.m_cold.is_closed(now) || !endpoint.m_cold.has_token(now))
+        return;
     m_metrics.counter("endpoints.probed").add();
     open(endpoint, m_own_organisation, now);
 }
@@ -347,6 +415,12 @@
     endpoint_state* endpoint = find_endpoint(id);
     if (endpoint == nullptr)
         return;
+    // Who asks asks again; requests that pile up would be sent late.
+    if (!endpoint->m_unsent.empty() || !endpoint->m_cold.has_token(now))
+    {
+        m_metrics.counter("cold.control_dropped").add();
+        return;
+    }
     connection* item = endpoint->m_pool.oldest_idle();
     if (item == nullptr)
         item = &open(*endpoint, m_own_organisation, now);
