--- a/platform/listener.hpp
+++ b/include/magnoliastack/datagram/listener.hpp
@@ -1,6 +1,6 @@
 // Opens listening sockets.
-#ifndef MAGNOLIASTACK_PLATFORM_LISTENER_HPP
-#define MAGNOLIASTACK_PLATFORM_LISTENER_HPP
+#ifndef MAGNOLIASTACK_DATAGRAM_LISTENER_HPP
+#define MAGNOLIASTACK_DATAGRAM_LISTENER_HPP
 
 #include "magnoliastack/base/error.hpp"
 
@@ -10,7 +10,7 @@
 
 #include <string>
 
-namespace magnoliastack::platform
+namespace magnoliastack::datagram
 {
 
 // Binds the acceptor to `ip:port` and listens with room for `backlog`
@@ -18,6 +18,6 @@
 base::result<bool> open_listener(boost::asio::ip::tcp::acceptor& acceptor,
                                  const std::string& address, int backlog);
 
-} // namespace magnoliastack::platform
+} // namespace magnoliastack::datagram
 
 #endif
--- a/include/magnoliastack/rpc/forwarding_link.hpp
+++ b/include/magnoliastack/rpc/forwarding_link.hpp
@@ -116,6 +116,18 @@
     // was sent on it is answered any more. `refused` is true when the host does
     // not listen.
     virtual void stream_lost(const base::host_id& host, bool refused) = 0;
+    // The stream that the host has opened has ended; its open transactions are
+    // to be rolled back. What this host sent to it is not affected.
+    virtual void incoming_stream_lost(const base::host_id& host)
+    {
+        stream_lost(host, false);
+    }
+    // The stream to the host was closed because it had not been used for long;
+    // open transactions on it are lost, and the host is not at fault.
+    virtual void idle_stream_closed(const base::host_id& host)
+    {
+        stream_lost(host, false);
+    }
 };
 
 // Passes messages to other hosts in order, on one stream for each host, which
@@ -138,6 +150,12 @@
     virtual void close_incoming() = 0;
     // While true, answers are awaited from the host, so its silence counts.
     virtual void set_awaiting(const base::host_id& host, bool awaiting) = 0;
+    // True when all that was sent has been written to the sockets; a planned
+    // stop waits for it.
+    [[nodiscard]] virtual bool is_flushed() const
+    {
+        return true;
+    }
 };
 
 } // namespace magnoliastack::rpc
--- a/platform/listener.cpp
+++ b/lib/datagram/listener.cpp
@@ -1,8 +1,8 @@
-#include "listener.hpp"
+#include "magnoliastack/datagram/listener.hpp"
 
 #include "magnoliastack/datagram/address.hpp"
 
-namespace magnoliastack::platform
+namespace magnoliastack::datagram
 {
 
 using boost::asio::ip::tcp;
@@ -10,7 +10,7 @@
 base::result<bool> open_listener(tcp::acceptor& acceptor,
                                  const std::string& address, int backlog)
 {
-    const auto where = datagram::parse_address(address);
+    const auto where = parse_address(address);
     if (!where)
         return tl::make_unexpected(where.error());
     boost::system::error_code error;
@@ -28,4 +28,4 @@
     return true;
 }
 
-} // namespace magnoliastack::platform
+} // namespace magnoliastack::datagram
--- a/utils/generate.sh
+++ b/utils/generate.sh
@@ -9,7 +9,7 @@
     --grpc_out=generated \
     --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" \
     magnoliastack/v1/*.proto
-for schema in peer fleet; do
+for schema in peer fleet forwarding; do
     capnp compile -I /usr/include -oc++:generated "magnoliastack/$schema.capnp"
     mv "generated/magnoliastack/$schema.capnp.c++" \
         "generated/magnoliastack/$schema.capnp.cpp"
