Test the pause check of the receive handler by itself

Cause: with the check in stream::read() removed, the test of a paused host still passed, because the accept handler of a second connection found the pause first.

Change: the cases of a waiting stream and of a waiting connection are two tests, both stricter than the old one.

--- a/unittests/forwarding/stream_limits_test.cpp
+++ b/unittests/forwarding/stream_limits_test.cpp
@@ -132,13 +132,11 @@
 }
 
 // Guards against running statements that waited in a stream while the host was
-// paused. The receive handler is the first to run, before any tick.
+// paused. The receive handler is the first one to run, before any tick.
 Test(limits, paused_host_reads_nothing_that_waits)
 {
     pair_of_hosts hosts;
-    const auto c = hosts.m_all.make(base::host_id("host-c"), 3);
     hosts.m_a->send(host_b, hosts.m_b->m_address, 2);
-    c->send(host_b, hosts.m_b->m_address, 3);
     hosts.m_all.m_clock.m_now =
         hosts.m_all.m_clock.m_now + absl::Milliseconds(301);
     hosts.m_all.until(
@@ -148,10 +146,24 @@
         });
     cr_assert_eq(hosts.m_b->counted("pauses"), 1);
     cr_assert_eq(hosts.m_b->m_incoming_lost, 1);
-    for (const auto& what : hosts.m_b->m_received)
-        cr_assert_neq(
-            std::get<rpc::forwarded_statement>(what.m_message).m_number.value(),
-            2);
+    cr_assert_eq(hosts.m_b->m_received.size(), 1);
+}
+
+// Guards against the same for a connection that waited to be accepted.
+Test(limits, paused_host_accepts_nothing_that_waits)
+{
+    pair_of_hosts hosts;
+    const auto c = hosts.m_all.make(base::host_id("host-c"), 3);
+    c->send(host_b, hosts.m_b->m_address, 3);
+    hosts.m_all.m_clock.m_now =
+        hosts.m_all.m_clock.m_now + absl::Milliseconds(301);
+    hosts.m_all.until(
+        [&]
+        {
+            return c->m_lost == 1;
+        });
+    cr_assert_eq(hosts.m_b->counted("pauses"), 1);
+    cr_assert_eq(hosts.m_b->m_received.size(), 1);
 }
 
 // Guards against the same when the tick runs first.
