Forward statements to the hosts that hold an endpoint's connections

Cause: a connection serves one organisation.

Change: two hosts of an endpoint's failure domain hold 0.9 of its connections (connection_holders). A host without an idle connection of the organisation sends the statement to them (runner_forwarding, forwarding_peers), and a holder runs it as a session of its own at the named endpoint only (forwarding_service). What the runner does with connections it does with forwarded work: deadlines, roll back, forget, a moved primary, lost streams. statement_ended and work_lost are split so that both ways share the judgement of an answer and of a loss. Without a forwarding link, as now, nothing is forwarded. forwarding_events gets incoming_lost, because the loss of the stream that a peer has opened says nothing about the statements that this host has sent to it.

Ruled out: a lost stream's pause of 2 s when nothing was owed on it, because an idle stream is closed after 30 s; the pause before a retry after a lost stream, because the silence has used up the time in which a statement may wait.

Not run: real streams.

--- a/include/magnoliastack/entry/endpoint_pool.hpp
+++ b/include/magnoliastack/entry/endpoint_pool.hpp
@@ -39,6 +39,9 @@
     // Sets the connections that are kept; a host of a fleet that is larger than
     // the endpoint's limit may have to close each one after use.
     void set_share(std::size_t connections);
+    // The same for a host that holds connections for others: its part takes
+    // the bursts of all of them, so no more are opened.
+    void set_held(std::size_t connections);
 
     // The idle connection of the organisation that needs the least change of
     // values, or null.
@@ -84,6 +87,7 @@
 private:
     pool_options m_options;
     std::size_t m_share = 1;
+    bool m_held = false;
     base::instant m_refused_until;
     std::map<base::connection_generation, std::unique_ptr<connection>>
         m_connections;
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -2,8 +2,11 @@
 #ifndef MAGNOLIASTACK_ENTRY_HOST_HPP
 #define MAGNOLIASTACK_ENTRY_HOST_HPP
 
+#include "magnoliastack/entry/connection_holders.hpp"
 #include "magnoliastack/entry/fleet_follower.hpp"
 #include "magnoliastack/entry/fleet_service.hpp"
+#include "magnoliastack/entry/forwarding_peers.hpp"
+#include "magnoliastack/entry/forwarding_service.hpp"
 #include "magnoliastack/entry/session_service.hpp"
 #include "magnoliastack/entry/statement_runner.hpp"
 #include "magnoliastack/quota/demand_table.hpp"
@@ -56,6 +59,8 @@
     rpc::promotion_link& m_promotions;
     rpc::datagram_link& m_datagrams;
     metrics::registry& m_metrics;
+    // Passes statements to other hosts; null when none are forwarded.
+    rpc::forwarding_link* m_forwarding = nullptr;
 };
 
 // Connects the decisions of sessions, statements, store and leadership. All
@@ -88,6 +93,23 @@
         return m_runner;
     }
 
+    rpc::forwarding_events& forwarding()
+    {
+        return m_forwarding;
+    }
+
+    // The runner of all statements here.
+    statement_runner& runner()
+    {
+        return m_runner;
+    }
+
+    // Statements and transactions of other hosts that run here.
+    [[nodiscard]] std::size_t served_count() const
+    {
+        return m_forwarding.served();
+    }
+
     // The primary that this host would send new work to now.
     [[nodiscard]] std::optional<base::endpoint_id>
     primary(const base::group_id& group) const
@@ -142,6 +164,8 @@
 private:
     void follow_isolation(base::instant now);
     void apply_endpoints(base::instant now);
+    void follow_holders(base::instant now);
+    [[nodiscard]] std::size_t work_count() const;
     [[nodiscard]] std::size_t even_part(const catalogue::group& group) const;
     [[nodiscard]] std::map<base::group_id, std::size_t>
     connection_shares() const;
@@ -156,6 +180,9 @@
     fleet_service m_fleet;
     session_service m_service;
     statement_runner m_runner;
+    connection_holders m_holders;
+    forwarding_peers m_peers;
+    forwarding_service m_forwarding;
     fleet_follower m_follower;
     std::vector<catalogue::endpoint_entry> m_entries;
     std::optional<base::instant> m_isolated_since;
--- a/include/magnoliastack/entry/placement.hpp
+++ b/include/magnoliastack/entry/placement.hpp
@@ -30,6 +30,8 @@
     bool m_avoided = false;
     // A connection of the organisation is idle.
     bool m_has_idle_connection = false;
+    // A holder may be asked, whose connections serve the organisation.
+    bool m_can_forward = false;
     // A connection may be opened, at the cost of an idle one if need be.
     bool m_can_connect = false;
 };
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -5,6 +5,7 @@
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/configuration.hpp"
 #include "magnoliastack/entry/connection.hpp"
+#include "magnoliastack/rpc/forwarding_link.hpp"
 #include "magnoliastack/rpc/opaque_statement.hpp"
 #include "magnoliastack/rpc/session_link.hpp"
 
@@ -17,6 +18,8 @@
 namespace magnoliastack::entry
 {
 
+class runner_events;
+
 // A statement that the session has prepared.
 struct prepared_statement
 {
@@ -52,6 +55,10 @@
     // Endpoints that have refused it or were lost while it ran there.
     std::vector<base::endpoint_id> m_tried;
     base::connection_generation m_connection;
+    // Set while a holder has it.
+    std::optional<rpc::forwarding_number> m_forwarded;
+    // Holders that did not run it.
+    std::vector<base::host_id> m_refused_by;
     // The log point that its endpoint was asked to have.
     std::optional<base::log_point> m_after;
     base::instant m_sent;
@@ -59,6 +66,11 @@
     std::vector<std::string> m_rows;
     std::optional<std::string> m_signature;
     std::string m_failure_text;
+    // The transaction's state and the log's end after the endpoint's answer.
+    std::optional<rpc::transaction_state> m_answered_state;
+    std::optional<base::log_point> m_answered_position;
+    // The endpoint has refused to begin the transaction.
+    bool m_begin_refused = false;
 };
 
 // One caller's connection. It is also the caller's session: its values,
@@ -85,6 +97,13 @@
     bool m_lost = false;
     // Connection of the open transaction, once its first statement ran.
     std::optional<base::connection_generation> m_pinned;
+    // The same when the transaction runs at a holder.
+    std::optional<rpc::forwarding_number> m_pinned_forward;
+    // Set when another host has chosen the endpoint: the statements run there
+    // or not at all, and are neither repeated nor forwarded.
+    std::optional<base::endpoint_id> m_required_endpoint;
+    // Receives the ends of the statements; without one the runner's receiver.
+    runner_events* m_events = nullptr;
     value_map m_values;
     std::map<std::string, prepared_statement> m_prepared;
     // Log point of the session's last write, and its group.
@@ -96,6 +115,12 @@
     bool m_awaits_token = false;
     base::instant m_started;
     base::instant m_last_activity;
+
+    // True when a statement of the open transaction has run.
+    [[nodiscard]] bool is_pinned() const
+    {
+        return m_pinned || m_pinned_forward;
+    }
 };
 
 } // namespace magnoliastack::entry
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -2,6 +2,7 @@
 #ifndef MAGNOLIASTACK_ENTRY_STATEMENT_RUNNER_HPP
 #define MAGNOLIASTACK_ENTRY_STATEMENT_RUNNER_HPP
 
+#include "magnoliastack/entry/forwarding_peers.hpp"
 #include "magnoliastack/entry/group_state.hpp"
 #include "magnoliastack/entry/placement.hpp"
 #include "magnoliastack/entry/session.hpp"
@@ -53,6 +54,12 @@
     // The staleness that is promised includes the way of the answer; this much
     // is kept for it.
     absl::Duration m_staleness_margin = absl::Milliseconds(100);
+    // A holder has half of the time in which a statement may wait, so that the
+    // next one has time as well, and never less than this.
+    absl::Duration m_least_start = absl::Milliseconds(50);
+    // A stream is lost within this when its host is silent. A forwarded
+    // statement that has taken longer without an answer is the endpoint's.
+    absl::Duration m_holder_silence = absl::Milliseconds(500);
 };
 
 // Who is primary of a group, as far as this host may rely on it now.
@@ -106,6 +113,19 @@
                        const std::map<base::group_id, std::size_t>& shares,
                        base::instant now);
 
+    // Connections that this host keeps to endpoints that it holds for others;
+    // set_endpoints applies them.
+    void set_held(std::map<base::endpoint_id, std::size_t> held)
+    {
+        m_held = std::move(held);
+    }
+
+    // Forwards statements to these hosts; set once, before use.
+    void set_peers(forwarding_peers& peers)
+    {
+        m_peers = &peers;
+    }
+
     // Runs the session's m_work; runner_events::work_finished follows, perhaps
     // from within the call.
     void submit(session& who, base::instant now);
@@ -116,6 +136,10 @@
     // The session ends; what it has running is left to itself.
     void forget(session& who, base::instant now);
 
+    // Takes a session's statement back that has no open connection yet; the
+    // session is forgotten then. False when it has one.
+    bool withdraw(session& who, base::instant now);
+
     // Deadlines, silence and what waits. Call it every 50 ms or less.
     void tick(base::instant now);
 
@@ -147,7 +171,20 @@
         m_own_organisation = organisation;
     }
 
-    // Sessions that run a statement or a transaction on the endpoint.
+    // A holder's answer. Answers to what was dropped are not taken.
+    void forwarded_answered(const base::host_id& from,
+                            rpc::forwarded_answer answer, base::instant now);
+    // A holder has lost a transaction's connection between two statements.
+    void forwarded_transaction_lost(const base::host_id& from,
+                                    rpc::forwarding_number number,
+                                    base::instant now);
+    // Nothing is answered any more that was sent to the host. `refused` when
+    // it does not listen, so that nothing has arrived.
+    void holder_lost(const base::host_id& host, bool refused,
+                     base::instant now);
+
+    // Sessions that run a statement or a transaction on the endpoint, here or
+    // at a holder.
     [[nodiscard]] std::size_t
     in_flight(const base::endpoint_id& endpoint) const;
     // True when the endpoint is listed, stays, and has answered after the
@@ -187,7 +224,28 @@
         report_callback m_done;
     };
 
+    // A statement or a transaction at a holder.
+    struct forwarded_work
+    {
+        rpc::session_number m_owner;
+        forwarding_peer m_holder;
+        base::endpoint_id m_endpoint;
+        // A statement has no answer yet.
+        bool m_awaited = false;
+    };
+    // What follows from an endpoint's answer.
+    enum class answer_consequence
+    {
+        // The statement is to be placed again.
+        repeat,
+        // The answer lacks its result.
+        broken,
+        // The statement has ended.
+        end,
+    };
+
     bool place(session& who, bool may_open, base::instant now);
+    bool place_required(session& who, bool may_open, base::instant now);
     [[nodiscard]] static bool is_waiting(const session& who);
     [[nodiscard]] std::vector<rpc::session_number>
     waiting_in_order(const group_state& group) const;
@@ -203,6 +261,25 @@
                                                 bool may_open,
                                                 base::instant now);
     void use(session& who, endpoint_state& endpoint, base::instant now);
+    bool forward(session& who, endpoint_state& endpoint, base::instant now);
+    [[nodiscard]] bool can_forward(const session& who,
+                                   const endpoint_state& endpoint,
+                                   base::instant now) const;
+    void send_forwarded(session& who, rpc::forwarding_number number,
+                        forwarded_work& at, base::instant now);
+    void submit_forwarded(session& who, base::instant now);
+    void stop_awaiting(forwarded_work& at);
+    void remove_forwarded(rpc::forwarding_number number);
+    void drop_forwarded(rpc::forwarding_number number);
+    void forwarded_lost(rpc::forwarding_number number, base::instant now);
+    void refused_by_holder(session& who, const base::host_id& holder,
+                           std::string_view reason, base::instant now);
+    void forwarded_work_lost(const forwarded_work& at,
+                             rpc::forwarding_number number, base::instant now);
+    void forwarded_ended(session& who, base::endpoint_id endpoint_id,
+                         rpc::forwarded_answer answer, base::instant now);
+    void answered_through_holder(endpoint_state& endpoint, base::instant now);
+    void check_forwarded(base::instant now);
     connection& open(endpoint_state& endpoint,
                      const base::organisation_id& organisation,
                      base::instant now);
@@ -222,7 +299,16 @@
                          rpc::transaction_state state,
                          std::optional<base::log_point> position,
                          base::instant now);
-    void note_position(connection& on, base::log_point position,
+    bool begin_refused(session& who, const base::endpoint_id& endpoint,
+                       rpc::statement_error error, base::instant now);
+    void begin_given_up(session& who, rpc::statement_error error,
+                        base::instant now);
+    answer_consequence judge_answer(session& who,
+                                    const base::endpoint_id& endpoint_id,
+                                    std::optional<rpc::statement_error> error,
+                                    std::optional<base::log_point> position,
+                                    base::instant now);
+    void note_position(const base::endpoint_id& from, base::log_point position,
                        base::instant sent, base::instant now);
     void connection_lost(connection& item, base::instant now);
     void work_lost(session& who, const base::endpoint_id& endpoint,
@@ -266,6 +352,12 @@
     absl::flat_hash_map<base::connection_generation, control_request>
         m_controls;
     std::map<std::pair<bool, std::string>, std::string> m_prepared_names;
+    std::map<base::endpoint_id, std::size_t> m_held;
+    forwarding_peers* m_peers = nullptr;
+    std::map<rpc::forwarding_number, forwarded_work> m_forwarded;
+    // How many of them are at each endpoint.
+    std::map<base::endpoint_id, std::size_t> m_forwarded_at;
+    rpc::forwarding_number m_last_forwarding;
     base::organisation_id m_own_organisation;
     base::connection_generation m_last_connection;
     std::optional<base::instant> m_last_tick;
--- a/include/magnoliastack/rpc/forwarding_link.hpp
+++ b/include/magnoliastack/rpc/forwarding_link.hpp
@@ -116,6 +116,11 @@
     // was sent on it is answered any more. `refused` is true when the host does
     // not listen.
     virtual void stream_lost(const base::host_id& host, bool refused) = 0;
+    // The stream that the host has opened has ended: nobody waits any more for
+    // what came on it. `stream_lost` tells of the streams that this host opens.
+    virtual void incoming_lost(const base::host_id& /*host*/)
+    {
+    }
 };
 
 // Passes messages to other hosts in order, on one stream for each host, which
--- a/lib/entry/endpoint_pool.cpp
+++ b/lib/entry/endpoint_pool.cpp
@@ -32,6 +32,13 @@
 void endpoint_pool::set_share(std::size_t connections)
 {
     m_share = connections;
+    m_held = false;
+}
+
+void endpoint_pool::set_held(std::size_t connections)
+{
+    m_share = connections;
+    m_held = true;
 }
 
 connection* endpoint_pool::find_idle(const base::organisation_id& organisation,
@@ -64,9 +71,9 @@
 
 bool endpoint_pool::can_open(base::instant now) const
 {
+    const std::size_t multiple = m_held ? 1 : m_options.m_largest_multiple;
     return now >= m_refused_until &&
-           m_connections.size() <
-               std::max<std::size_t>(m_share, 1) * m_options.m_largest_multiple;
+           m_connections.size() < std::max<std::size_t>(m_share, 1) * multiple;
 }
 
 connection& endpoint_pool::add(base::connection_generation number,
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -17,11 +17,11 @@
 constexpr double end_part = 0.8;
 constexpr absl::Duration balancer_time = absl::Milliseconds(2200);
 
-// Connections of an endpoint that all hosts together keep while idle.
-std::size_t kept_connections(const catalogue::group& group)
+// Connections of an endpoint that all hosts together keep while idle, as a part
+// of its limit.
+std::size_t kept_connections(const catalogue::group& group, double part)
 {
-    return static_cast<std::size_t>(group.m_max_connections *
-                                    pool_options().m_kept_part);
+    return static_cast<std::size_t>(group.m_max_connections * part);
 }
 
 } // namespace
@@ -44,6 +44,10 @@
                 links.m_metrics, links.m_clock),
       m_runner(m_options.m_runner, links.m_endpoints, m_fleet, m_service,
                links.m_metrics, links.m_clock),
+      m_holders(m_options.m_fleet.m_self, m_fleet.members()),
+      m_peers(m_holders, m_fleet.members(), links.m_forwarding),
+      m_forwarding({}, links.m_forwarding, m_peers, m_runner, links.m_metrics,
+                   links.m_clock),
       m_follower(m_options.m_follower, links.m_store, *this, links.m_metrics,
                  links.m_clock)
 {
@@ -51,6 +55,8 @@
     m_service.set_token_source(m_fleet);
     m_fleet.set_runner(m_runner);
     m_fleet.set_tokens(m_service);
+    if (links.m_forwarding != nullptr)
+        m_runner.set_peers(m_peers);
 }
 
 void host::tick()
@@ -61,6 +67,8 @@
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
     m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
     m_follower.tick(now);
+    follow_holders(now);
+    m_forwarding.tick(now);
     m_runner.tick(now);
     m_fleet.tick(m_follower.is_reaching_store(), now);
     m_service.tick(now);
@@ -73,7 +81,7 @@
     if (draining >= m_options.m_drain.m_abort)
     {
         m_service.abort_transactions(now);
-        if (m_service.session_count() == 0)
+        if (work_count() == 0)
             m_fleet.leave(now);
     }
     else if (draining >= m_options.m_drain.m_close_idle)
@@ -114,7 +122,9 @@
     if (m_draining_since)
         return;
     m_draining_since = m_links.m_clock.now();
-    m_log.info("drain_started", {{"sessions", m_service.session_count()}});
+    m_log.info("drain_started", {{"sessions", m_service.session_count()},
+                                 {"served", m_forwarding.served()}});
+    m_forwarding.drain();
 }
 
 bool host::is_drained() const
@@ -123,8 +133,7 @@
         return false;
     const auto draining = m_links.m_clock.now() - *m_draining_since;
     return draining >= m_options.m_drain.m_end ||
-           (draining >= m_options.m_drain.m_abort &&
-            m_service.session_count() == 0);
+           (draining >= m_options.m_drain.m_abort && work_count() == 0);
 }
 
 void host::configuration_changed(rpc::configuration_ptr configuration,
@@ -192,16 +201,38 @@
     m_next_division =
         now + (m_homes.is_large_fleet() ? m_options.m_large_division_interval
                                         : m_options.m_division_interval);
+    if (m_links.m_forwarding != nullptr && m_service.configuration())
+    {
+        m_holders.set_endpoints(*m_service.configuration(), m_entries);
+        m_holders.refresh(m_homes.is_large_fleet(), now);
+        m_runner.set_held(m_holders.own_parts());
+    }
     m_runner.set_endpoints(m_entries, connection_shares(), now);
 }
 
+// Parts follow the holders at once: a host that waited for the next division
+// would refuse what others send it.
+void host::follow_holders(base::instant now)
+{
+    if (m_links.m_forwarding != nullptr &&
+        m_holders.refresh(m_homes.is_large_fleet(), now))
+        apply_endpoints(now);
+}
+
+// Callers' sessions, and what runs here for other hosts.
+std::size_t host::work_count() const
+{
+    return m_service.session_count() + m_forwarding.served();
+}
+
 // Hosts take the rest that the division leaves in an order of their own for
 // each group, so that together they never keep more than the endpoint accepts.
 std::size_t host::even_part(const catalogue::group& group) const
 {
     const fleet::member_book& members = m_fleet.members();
     const std::size_t hosts = members.size();
-    const std::size_t kept = kept_connections(group);
+    const std::size_t kept =
+        kept_connections(group, m_holders.direct_part(group.m_id));
     const bool takes_rest =
         members.place(group.m_id.str(), false) < kept % hosts;
     return kept / hosts + (takes_rest ? 1 : 0);
@@ -226,7 +257,10 @@
         if (!member.m_row.m_out_since)
             demands.try_emplace(id, 0.0);
     for (const auto& [id, group] : configuration->m_groups)
-        shares[id] = quota::divide(kept_connections(group), demands).at(self);
+        shares[id] =
+            quota::divide(kept_connections(group, m_holders.direct_part(id)),
+                          demands)
+                .at(self);
     return shares;
 }
 
--- a/lib/entry/placement.cpp
+++ b/lib/entry/placement.cpp
@@ -20,7 +20,8 @@
 bool may_run(const placement_request& request,
              const placement_candidate& candidate)
 {
-    if (!candidate.m_has_idle_connection && !candidate.m_can_connect)
+    if (!candidate.m_has_idle_connection && !candidate.m_can_forward &&
+        !candidate.m_can_connect)
         return false;
     if (candidate.m_primary)
         return true;
@@ -41,7 +42,7 @@
     if (candidate.m_primary && !request.m_primary_only)
         time *= primary_weight;
     if (!candidate.m_has_idle_connection)
-        time += connect_cost;
+        time += candidate.m_can_forward ? remote_cost : connect_cost;
     if (!candidate.m_same_failure_domain)
         time += remote_cost;
     return time;
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -36,7 +36,7 @@
     if (endpoint != nullptr)
         endpoint_answered(*endpoint, now);
     if (position)
-        note_position(*item, *position, item->m_opened, now);
+        note_position(item->m_endpoint, *position, item->m_opened, now);
     if (m_controls.contains(number))
     {
         start_control(*item, now);
@@ -186,7 +186,7 @@
     const pending_answer answered = on.m_awaited.front();
     on.m_awaited.pop_front();
     if (position)
-        note_position(on, *position, answered.m_sent, now);
+        note_position(on.m_endpoint, *position, answered.m_sent, now);
     session* who = owner_of(on);
     const bool failed = on.m_failure.has_value();
     if (answered.m_what == awaited::report)
@@ -234,31 +234,43 @@
 {
     const statement_error error = *on.m_failure;
     on.m_failure.reset();
-    const base::endpoint_id endpoint = on.m_endpoint;
-    const bool again = try_again(who, endpoint, to_string(error), now);
+    who.m_work->m_begin_refused = true;
+    const bool again = begin_refused(who, on.m_endpoint, error, now);
     on.m_owner.reset();
-    m_metrics.counter(std::string("retried.begin.") + to_string(error)).add();
     if (again)
-    {
-        if (error == statement_error::busy)
-            who.m_work->m_not_before = now + m_options.m_busy_pause;
         wait(who, now);
-    }
     release(on, now);
     if (!again)
-        finish(who, is_not_run(error) ? error : statement_error::aborted,
-               "the transaction could not begin", now);
+        begin_given_up(who, error, now);
 }
 
-void statement_runner::statement_ended(connection& on, session& who,
-                                       transaction_state state,
-                                       std::optional<base::log_point> position,
-                                       base::instant now)
+// True when the transaction is to be placed again.
+bool statement_runner::begin_refused(session& who,
+                                     const base::endpoint_id& endpoint,
+                                     statement_error error, base::instant now)
+{
+    const bool again = try_again(who, endpoint, to_string(error), now);
+    m_metrics.counter(std::string("retried.begin.") + to_string(error)).add();
+    if (again && error == statement_error::busy)
+        who.m_work->m_not_before = now + m_options.m_busy_pause;
+    return again;
+}
+
+void statement_runner::begin_given_up(session& who, statement_error error,
+                                      base::instant now)
+{
+    finish(who, is_not_run(error) ? error : statement_error::aborted,
+           "the transaction could not begin", now);
+}
+
+// What an answer says about the endpoint, the session's own writes and whether
+// the statement may be repeated, however it came here.
+statement_runner::answer_consequence statement_runner::judge_answer(
+    session& who, const base::endpoint_id& endpoint_id,
+    std::optional<statement_error> error,
+    std::optional<base::log_point> position, base::instant now)
 {
     work& what = *who.m_work;
-    const auto error = on.m_failure;
-    on.m_failure.reset();
-    const base::endpoint_id endpoint_id = on.m_endpoint;
     endpoint_state* endpoint = find_endpoint(endpoint_id);
     const bool bad =
         error == statement_error::failed || error == statement_error::timeout;
@@ -269,8 +281,6 @@
             averaged(endpoint->m_answer_time, now - what.m_sent);
     const bool single = who.m_state == transaction_state::idle;
     const bool commit = what.m_statement.m_kind == statement_kind::commit;
-    if (error == statement_error::unknown_prepared)
-        on.m_prepared.clear();
     // A read that failed may run again.
     const bool may_repeat =
         error && (is_not_run(*error) || (bad && !what.m_writes));
@@ -280,16 +290,11 @@
         m_metrics.counter(std::string("retried.") + to_string(*error)).add();
         if (*error == statement_error::busy)
             what.m_not_before = now + m_options.m_busy_pause;
-        wait(who, now);
-        release(on, now);
-        return;
+        return answer_consequence::repeat;
     }
+    // The end of the answer without its result: the stream is broken.
     if (!error && !what.m_signature)
-    {
-        // The end of the answer without its result: the stream is broken.
-        connection_lost(on, now);
-        return;
-    }
+        return answer_consequence::broken;
     if (!error && position && (commit ? who.m_wrote : what.m_writes && single))
     {
         who.m_own_writes = *position;
@@ -302,11 +307,42 @@
              {"organisation", who.m_organisation},
              {"group", who.m_route.m_group},
              {"endpoint", endpoint_id},
-             {"connection", on.m_number},
+             {"connection", what.m_connection},
+             {"forwarded", what.m_forwarded.value_or(rpc::forwarding_number())},
              {"after", what.m_after ? what.m_after->m_position.value() : 0},
              {"tries", what.m_tried.size()},
              {"waited", what.m_sent - what.m_arrived},
              {"ran", now - what.m_sent}});
+    return answer_consequence::end;
+}
+
+void statement_runner::statement_ended(connection& on, session& who,
+                                       transaction_state state,
+                                       std::optional<base::log_point> position,
+                                       base::instant now)
+{
+    work& what = *who.m_work;
+    const auto error = on.m_failure;
+    on.m_failure.reset();
+    if (error == statement_error::unknown_prepared)
+        on.m_prepared.clear();
+    const auto consequence =
+        judge_answer(who, on.m_endpoint, error, position, now);
+    if (consequence == answer_consequence::repeat)
+    {
+        wait(who, now);
+        release(on, now);
+        return;
+    }
+    if (consequence == answer_consequence::broken)
+    {
+        connection_lost(on, now);
+        return;
+    }
+    what.m_answered_state = state;
+    what.m_answered_position = position;
+    const bool single = who.m_state == transaction_state::idle;
+    const bool commit = what.m_statement.m_kind == statement_kind::commit;
     const bool ends = single || commit;
     if (!ends && !error && state == transaction_state::open)
     {
@@ -333,17 +369,18 @@
 
 // Only the primary's answers say what has been committed. This host relies on
 // the primary now, so it was primary when the request was sent.
-void statement_runner::note_position(connection& on, base::log_point position,
+void statement_runner::note_position(const base::endpoint_id& from,
+                                     base::log_point position,
                                      base::instant sent, base::instant now)
 {
-    endpoint_state* endpoint = find_endpoint(on.m_endpoint);
+    endpoint_state* endpoint = find_endpoint(from);
     if (endpoint == nullptr)
         return;
     const base::group_id& group = endpoint->m_entry.m_group;
     if (!endpoint->m_position || *endpoint->m_position < position)
         endpoint->m_position = position;
     endpoint->m_position_at = now;
-    if (m_primaries.primary(group, now) != on.m_endpoint)
+    if (m_primaries.primary(group, now) != from)
         return;
     group_state& state = m_groups.at(group);
     state.m_bounds.observed(position, sent);
@@ -384,7 +421,9 @@
     if (who->m_pinned == number)
     {
         who->m_pinned.reset();
-        m_events.transaction_lost(*who, now);
+        runner_events& receiver =
+            who->m_events == nullptr ? m_events : *who->m_events;
+        receiver.transaction_lost(*who, now);
     }
 }
 
@@ -405,26 +444,32 @@
     m_log.info("connection_lost", {{"request", what.m_statement.m_id},
                                    {"endpoint", endpoint},
                                    {"connection", what.m_connection},
+                                   {"forwarded", what.m_forwarded.has_value()},
                                    {"sent", sent},
                                    {"uncertain", uncertain},
                                    {"age", now - what.m_arrived}});
+    const bool pinned = who.is_pinned();
+    who.m_pinned.reset();
+    who.m_pinned_forward.reset();
     if (uncertain)
     {
-        who.m_pinned.reset();
         finish(who, statement_error::unknown_outcome,
                "the connection was lost before the answer", now);
         return;
     }
-    if (who.m_pinned)
+    if (pinned)
     {
-        who.m_pinned.reset();
         finish(who, statement_error::aborted,
                "the connection of the transaction was lost", now);
         return;
     }
+    const bool forwarded = what.m_forwarded.has_value();
     if (try_again(who, endpoint, "connection_lost", now))
     {
-        what.m_not_before = now + m_options.m_busy_pause;
+        // A lost stream has cost its silence already, and says nothing about
+        // the endpoint.
+        if (!forwarded)
+            what.m_not_before = now + m_options.m_busy_pause;
         wait(who, now);
         place_waiting(who.m_route.m_group, now);
         return;
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -57,6 +57,9 @@
         const auto share = shares.find(entry.m_group);
         if (share != shares.end())
             endpoint.m_pool.set_share(share->second);
+        const auto held = m_held.find(entry.m_id);
+        if (held != m_held.end())
+            endpoint.m_pool.set_held(held->second);
     }
     for (auto& [id, group] : m_groups)
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
@@ -101,6 +104,15 @@
         if (still != nullptr)
             connection_lost(*still, now);
     }
+    std::vector<rpc::forwarding_number> forwarded;
+    for (const auto& [number, at] : m_forwarded)
+        if (at.m_endpoint == id)
+            forwarded.push_back(number);
+    for (const auto number : forwarded)
+    {
+        m_metrics.counter("forwarded.dropped").add();
+        forwarded_lost(number, now);
+    }
 }
 
 std::size_t statement_runner::in_flight(const base::endpoint_id& id) const
@@ -109,7 +121,9 @@
     for (const auto& [number, item] : m_connections)
         if (item->m_endpoint == id && item->m_owner)
             ++count;
-    return count;
+    const auto forwarded = m_forwarded_at.find(id);
+    return forwarded == m_forwarded_at.end() ? count
+                                             : count + forwarded->second;
 }
 
 absl::Duration statement_runner::unreachable_for(const base::endpoint_id& id,
@@ -152,6 +166,7 @@
 {
     forgive_pause(now);
     check_running(now);
+    check_forwarded(now);
     for (auto& [id, group] : m_groups)
     {
         group.m_troubled = false;
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -53,6 +53,7 @@
         candidate.m_has_idle_connection =
             endpoint.m_pool.find_idle(who.m_organisation, who.m_values) !=
             nullptr;
+        candidate.m_can_forward = can_forward(who, endpoint, now);
         candidate.m_can_connect =
             may_open &&
             endpoint.m_pool.opening() < m_options.m_largest_opening &&
@@ -66,6 +67,8 @@
 // True when the work got an endpoint or ended.
 bool statement_runner::place(session& who, bool may_open, base::instant now)
 {
+    if (who.m_required_endpoint)
+        return place_required(who, may_open, now);
     group_state* group = find_group(who.m_route.m_group);
     if (group == nullptr)
     {
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -362,7 +362,7 @@
             who.m_state = transaction_state::idle;
         else if (who.m_state == transaction_state::open)
             who.m_state = transaction_state::failed;
-        if (who.m_pinned)
+        if (who.is_pinned())
             m_runner->roll_back(who, now);
         answer(who, result.m_error, result.m_text);
         serve_next(who, now);
@@ -410,7 +410,7 @@
     for (auto& [number, who] : m_sessions)
     {
         if (who->m_state != transaction_state::open || who->m_work ||
-            !who->m_pinned || now - who->m_last_activity < limit)
+            !who->is_pinned() || now - who->m_last_activity < limit)
             continue;
         m_metrics.counter("transactions.idle").add();
         m_runner->roll_back(*who, now);
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace magnoliastack::entry
 {
@@ -47,6 +48,11 @@
 {
     m_sessions[who.m_number] = &who;
     work& what = *who.m_work;
+    if (who.m_pinned_forward)
+    {
+        submit_forwarded(who, now);
+        return;
+    }
     if (!who.m_pinned)
     {
         place(who, true, now);
@@ -72,6 +78,15 @@
 
 void statement_runner::roll_back(session& who, base::instant now)
 {
+    if (who.m_pinned_forward)
+    {
+        const auto number = *std::exchange(who.m_pinned_forward, std::nullopt);
+        const auto found = m_forwarded.find(number);
+        if (found != m_forwarded.end())
+            m_peers->send(found->second.m_holder,
+                          rpc::forwarded_roll_back{number});
+        remove_forwarded(number);
+    }
     if (!who.m_pinned)
         return;
     connection* pinned = find(*who.m_pinned);
@@ -89,9 +104,11 @@
 // connection serves others after that.
 void statement_runner::forget(session& who, base::instant now)
 {
-    if (who.m_pinned && !who.m_work)
+    if (who.is_pinned() && !who.m_work)
         roll_back(who, now);
-    if (who.m_work || who.m_pinned)
+    if (who.m_work && who.m_work->m_forwarded)
+        drop_forwarded(*who.m_work->m_forwarded);
+    else if (who.m_work || who.m_pinned)
     {
         const auto number =
             who.m_pinned ? *who.m_pinned : who.m_work->m_connection;
@@ -105,6 +122,7 @@
     }
     who.m_work.reset();
     who.m_pinned.reset();
+    who.m_pinned_forward.reset();
     m_sessions.erase(who.m_number);
 }
 
@@ -122,6 +140,8 @@
         start(who, *idle, now);
         return;
     }
+    if (forward(who, endpoint, now))
+        return;
     if (endpoint.m_pool.is_full() || !endpoint.m_pool.can_open(now))
     {
         connection* oldest = endpoint.m_pool.oldest_idle();
@@ -288,6 +308,9 @@
                                      {"tries", what.m_tried.size() + 1},
                                      {"age", now - what.m_arrived}});
     what.m_tried.push_back(endpoint);
+    // The host that has chosen the endpoint decides about repetitions.
+    if (who.m_required_endpoint)
+        return false;
     if (what.m_tried.size() >= m_options.m_largest_tries ||
         now >= what.m_deadline)
         return false;
@@ -295,6 +318,7 @@
     what.m_signature.reset();
     what.m_stage = work_stage::waiting;
     what.m_connection = {};
+    what.m_forwarded.reset();
     return true;
 }
 
@@ -302,7 +326,8 @@
                               std::optional<rpc::statement_error> error,
                               std::string_view text, base::instant now)
 {
-    m_events.work_finished(who, {error, std::string(text)}, now);
+    runner_events& owner = who.m_events == nullptr ? m_events : *who.m_events;
+    owner.work_finished(who, {error, std::string(text)}, now);
 }
 
 group_state* statement_runner::find_group(const base::group_id& group)
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -436,12 +436,13 @@
 {
     fake_host(const std::string& name, fake_platform& platform,
               fake_clock& clock, std::uint64_t incarnation = 1,
-              const base::failure_domain_id& domain = {})
+              const base::failure_domain_id& domain = {},
+              rpc::forwarding_link* forwarding = nullptr)
         : m_address(name + ":1"), m_store(platform, clock),
           m_promotions(platform),
           m_host(options(name, m_address, incarnation, domain),
                  {clock, m_sessions, m_endpoints, m_store, m_promotions,
-                  m_datagrams, m_metrics})
+                  m_datagrams, m_metrics, forwarding})
     {
     }
 
