Keep forwarded statements and answers within a frame

Cause: a frame between hosts takes 1 MiB and 64 KiB. A longer statement or answer would close the stream with everything that others wait for on it.

Change: a longer statement is not forwarded. A longer answer to a single read counts as not run, so its sender fetches it on a connection of its own; a single write gets an unknown outcome, and a transaction is rolled back with `too_large`.

--- a/include/magnoliastack/entry/forwarding_service.hpp
+++ b/include/magnoliastack/entry/forwarding_service.hpp
@@ -33,6 +33,8 @@
     absl::Duration m_deadline_margin = absl::Milliseconds(100);
     // Statements and transactions of other hosts at the same time.
     std::size_t m_largest_served = 4000;
+    // Rows of an answer, in bytes; a frame between hosts takes no more.
+    std::size_t m_largest_answer = 1 << 20;
 };
 
 // Receives what comes from other hosts. Their statements run as sessions
@@ -86,6 +88,8 @@
     void start(session& who, rpc::forwarded_statement what, base::instant now);
     [[nodiscard]] const char*
     reason_to_refuse(const rpc::forwarded_statement& what);
+    void limit_size(rpc::forwarded_answer& answer, session& who, bool writes,
+                    base::instant now);
     void refuse(const base::host_id& to, rpc::forwarding_number number,
                 std::string_view reason);
     void drop(const peer_number& what, base::instant now);
--- a/lib/entry/forwarding_service.cpp
+++ b/lib/entry/forwarding_service.cpp
@@ -233,16 +233,44 @@
     work finished = std::move(*who.m_work);
     who.m_work.reset();
     const work_stage stage = finished.m_stage;
+    const bool writes = finished.m_writes;
     auto answer = answer_of(key.second, std::move(finished), result);
-    const bool goes_on = who.m_pinned && !result.m_error;
+    const std::string reason = reason_of(stage, result);
+    limit_size(answer, who, writes, now);
+    const bool goes_on = who.m_pinned && !answer.m_error;
     if (answer.m_not_sent)
-        refuse(key.first, key.second, reason_of(stage, result));
+        refuse(key.first, key.second,
+               result.m_error ? reason : answer.m_error_text);
     else
         m_link->reply(key.first, std::move(answer));
     if (!goes_on)
         remove(key, now);
 }
 
+// An answer that fits into no frame would cost all statements of its stream. A
+// single read does no harm when it runs again on a connection of its sender.
+void forwarding_service::limit_size(rpc::forwarded_answer& answer, session& who,
+                                    bool writes, base::instant now)
+{
+    std::size_t size = 0;
+    for (const auto& row : answer.m_rows)
+        size += row.size() + sizeof(std::uint64_t);
+    if (size <= m_options.m_largest_answer)
+        return;
+    answer.m_rows.clear();
+    answer.m_signature.reset();
+    const bool single = who.m_state == transaction_state::idle;
+    // A write was done, but its caller does not get its result.
+    answer.m_error = single && writes ? statement_error::unknown_outcome
+                                      : statement_error::too_large;
+    answer.m_error_text = "answer_too_large";
+    answer.m_not_sent = single && !writes;
+    if (!who.m_pinned)
+        return;
+    m_runner.roll_back(who, now);
+    answer.m_state = transaction_state::failed;
+}
+
 void forwarding_service::transaction_lost(session& who, base::instant now)
 {
     const auto found = m_numbers.find(who.m_number);
--- a/lib/entry/runner_forwarding.cpp
+++ b/lib/entry/runner_forwarding.cpp
@@ -27,6 +27,20 @@
                            : forwarded_scope::first;
 }
 
+// A longer statement does not fit into a frame between hosts.
+constexpr std::size_t largest_forwarded = 1 << 20;
+
+bool fits_into_frame(const session& who)
+{
+    const auto& what = who.m_work->m_statement;
+    std::size_t size = what.m_text.size() + what.m_argument.size();
+    for (const auto& [name, value] : who.m_values)
+        size += name.size() + value.size();
+    if (what.m_kind == statement_kind::execute)
+        size += who.m_prepared.at(what.m_name).m_shape.size();
+    return size <= largest_forwarded;
+}
+
 // What the holder needs to run the statement; the session stays here.
 rpc::forwarded_statement statement_of(const session& who)
 {
@@ -57,6 +71,7 @@
                                    base::instant now) const
 {
     return m_peers != nullptr && !who.m_required_endpoint &&
+           fits_into_frame(who) &&
            m_peers->choose(endpoint.m_entry.m_id, who.m_organisation,
                            who.m_work->m_refused_by, now);
 }
@@ -65,7 +80,7 @@
 bool statement_runner::forward(session& who, endpoint_state& endpoint,
                                base::instant now)
 {
-    if (m_peers == nullptr || who.m_required_endpoint)
+    if (m_peers == nullptr || who.m_required_endpoint || !fits_into_frame(who))
         return false;
     const base::endpoint_id& id = endpoint.m_entry.m_id;
     const auto holder =
--- a/unittests/entry/forwarding_test.cpp
+++ b/unittests/entry/forwarding_test.cpp
@@ -293,6 +293,86 @@
     cr_assert(f.was("done signature"));
     cr_assert_eq(f.counter(f.m_sender, "forwarded.lost"), 1u);
     cr_assert_leq(sent, 3u);
+    // Nothing was learnt about the endpoint.
+    cr_assert_eq(f.m_hosts[f.m_sender]->m_host.runner().unreachable_for(
+                     base::endpoint_id("g0e0"), f.m_clock.m_now),
+                 absl::ZeroDuration());
+    f.m_streams.m_silent.clear();
+    f.run(absl::Milliseconds(1500));
+    f.forward(statement_kind::read, "READ b");
+    cr_assert_eq(f.serving(), next, "the holder is left alone for 2 s");
+    f.finish_all(next);
+    f.run(absl::Seconds(1));
+    f.forward(statement_kind::read, "READ c");
+    cr_assert_eq(f.serving(), f.m_holder, "and used again after that");
+}
+
+// A host that has no connection of its own would never learn that an endpoint
+// has died, and its primary would not be replaced.
+Test(forwarding, an_endpoint_that_no_holder_reaches_is_tried_by_the_sender)
+{
+    forwarding_fixture f;
+    const base::endpoint_id dead("g0e0");
+    f.forward(statement_kind::read, "READ a");
+    for (int step = 0; step < 40; ++step)
+    {
+        f.run(absl::Milliseconds(50));
+        // The others answer.
+        for (auto& host : f.m_hosts)
+            for (const auto number : std::vector(host->m_endpoints.m_opening))
+                if (host->m_endpoints.m_open.at(number).m_endpoint != dead)
+                    host->m_host.endpoints().opened(number, point(1, 100));
+        if (f.m_hosts[f.m_sender]->m_host.runner().unreachable_for(
+                dead, f.m_clock.m_now) > absl::ZeroDuration())
+            return;
+        if (f.was("ready I"))
+        {
+            f.caller().take_answers(1);
+            f.forward(statement_kind::read, "READ a");
+        }
+    }
+    cr_assert_fail("the sender has not noticed");
+}
+
+// A primary that many hosts use through holders only would look silent to
+// whoever judges it.
+Test(forwarding, an_answer_through_a_holder_shows_that_the_endpoint_answers)
+{
+    forwarding_fixture f;
+    f.run(absl::Milliseconds(500));
+    const auto before = f.m_clock.m_now - absl::Milliseconds(100);
+    const base::endpoint_id primary("g0e0");
+    auto& runner = f.m_hosts[f.m_sender]->m_host.runner();
+    cr_assert_not(runner.has_answered_since(primary, before));
+    f.forward(statement_kind::read, "READ a");
+    f.finish_all(f.m_holder);
+    f.m_streams.run();
+    cr_assert(runner.has_answered_since(primary, before));
+}
+
+// A frame that is too long closes the stream with all that others wait for.
+Test(forwarding, an_answer_that_fits_into_no_frame_is_fetched_directly)
+{
+    forwarding_fixture f;
+    f.forward(statement_kind::read, "READ a");
+    while (f.serving() != f.m_sender)
+    {
+        const std::size_t at = f.serving();
+        cr_assert_neq(at, nobody);
+        driver endpoints(*f.m_hosts[at]);
+        const auto request = endpoints.next_statement();
+        cr_assert(request.has_value());
+        for (int row = 0; row < 20; ++row)
+            endpoints.m_host.m_host.endpoints().row_received(
+                request->m_connection, std::string(100000, 'x'));
+        endpoints.succeed(*request);
+        f.m_streams.run();
+    }
+    const auto request = f.caller().next_statement();
+    cr_assert(request.has_value());
+    f.caller().succeed(*request);
+    cr_assert(f.was("done signature"));
+    cr_assert_eq(f.counter(f.m_sender, "forwarded.lost"), 0u);
 }
 
 // Failure table: the holder was itself paused. A write whose caller was told
