--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -19,11 +19,11 @@
 constexpr double end_part = 0.9;
 constexpr absl::Duration balancer_time = absl::Milliseconds(2200);
 
-// Connections of an endpoint that all hosts together keep while idle.
-std::size_t kept_connections(const catalogue::group& group)
+// Connections of an endpoint that all hosts together keep while idle, as a part
+// of its limit.
+std::size_t kept_connections(const catalogue::group& group, double part)
 {
-    return static_cast<std::size_t>(group.m_max_connections *
-                                    pool_options().m_kept_part);
+    return static_cast<std::size_t>(group.m_max_connections * part);
 }
 
 } // namespace
@@ -47,6 +47,10 @@
                 links.m_metrics, links.m_clock),
       m_runner(m_options.m_runner, links.m_endpoints, m_fleet, m_service,
                links.m_metrics, links.m_clock),
+      m_holders(m_options.m_fleet.m_self, m_fleet.members()),
+      m_peers(m_holders, m_fleet.members(), links.m_forwarding),
+      m_forwarding({}, links.m_forwarding, m_peers, m_runner, links.m_metrics,
+                   links.m_clock),
       m_follower(m_options.m_follower, links.m_store, *this, links.m_metrics,
                  links.m_clock)
 {
@@ -54,6 +58,8 @@
     m_service.set_token_source(m_fleet);
     m_fleet.set_runner(m_runner);
     m_fleet.set_tokens(m_service);
+    if (links.m_forwarding != nullptr)
+        m_runner.set_peers(m_peers);
 }
 
 void host::tick()
@@ -68,6 +74,8 @@
     m_follower.tick(now);
     follow_drain(now);
     apply_cold_shares(now);
+    follow_holders(now);
+    m_forwarding.tick(now);
     m_runner.tick(now);
     m_fleet.tick(m_follower.is_reaching_store(), now);
     m_service.tick(now);
@@ -108,10 +116,10 @@
 {
     if (!m_handing_over || m_drained)
         return;
-    if (m_service.session_count() == 0)
+    if (work_count() == 0)
     {
         m_fleet.leave(now);
-        if (!m_links.m_sessions.has_output())
+        if (!has_output())
         {
             end_drain("drained", now);
             return;
@@ -135,7 +143,16 @@
                 {"left", *m_draining_since + m_options.m_drain.m_end - now},
                 {"sessions", m_service.session_count()},
                 {"working", m_service.working_count()},
-                {"unsent", m_links.m_sessions.has_output()}});
+                {"served", m_forwarding.served()},
+                {"unsent", has_output()}});
+}
+
+// True while an answer to a caller or to another host is not sent completely.
+bool host::has_output() const
+{
+    return m_links.m_sessions.has_output() ||
+           (m_links.m_forwarding != nullptr &&
+            !m_links.m_forwarding->is_flushed());
 }
 
 // Callers whose sessions stay open would reach this host for as long as it is
@@ -174,6 +191,7 @@
     m_draining_since = m_links.m_clock.now();
     m_links.m_metrics.counter("drain.started").add();
     log_drain("drain_started", *m_draining_since);
+    m_forwarding.drain();
 }
 
 bool host::is_drained() const
@@ -247,9 +265,30 @@
         now + (m_homes.is_large_fleet() ? m_options.m_large_division_interval
                                         : m_options.m_division_interval);
     apply_cold_shares(now);
+    if (m_links.m_forwarding != nullptr && m_service.configuration())
+    {
+        m_holders.set_endpoints(*m_service.configuration(), m_entries);
+        m_holders.refresh(m_homes.is_large_fleet(), now);
+        m_runner.set_held(m_holders.own_parts());
+    }
     m_runner.set_endpoints(m_entries, connection_shares(), now);
 }
 
+// Parts follow the holders at once: a host that waited for the next division
+// would refuse what others send it.
+void host::follow_holders(base::instant now)
+{
+    if (m_links.m_forwarding != nullptr &&
+        m_holders.refresh(m_homes.is_large_fleet(), now))
+        apply_endpoints(now);
+}
+
+// Callers' sessions, and what runs here for other hosts.
+std::size_t host::work_count() const
+{
+    return m_service.session_count() + m_forwarding.served();
+}
+
 // The order of an endpoint's senders goes by the members' rows and not by who
 // is heard: parts of a fleet that do not hear each other choose the same hosts.
 void host::apply_cold_shares(base::instant now)
@@ -282,7 +321,8 @@
 {
     const fleet::member_book& members = m_fleet.members();
     const std::size_t hosts = members.size();
-    const std::size_t kept = kept_connections(group);
+    const std::size_t kept =
+        kept_connections(group, m_holders.direct_part(group.m_id));
     const bool takes_rest =
         members.place(group.m_id.str(), false) < kept % hosts;
     return kept / hosts + (takes_rest ? 1 : 0);
@@ -307,7 +347,10 @@
         if (!member.m_row.m_out_since)
             demands.try_emplace(id, 0.0);
     for (const auto& [id, group] : configuration->m_groups)
-        shares[id] = quota::divide(kept_connections(group), demands).at(self);
+        shares[id] =
+            quota::divide(kept_connections(group, m_holders.direct_part(id)),
+                          demands)
+                .at(self);
     return shares;
 }
 
--- a/lib/entry/placement.cpp
+++ b/lib/entry/placement.cpp
@@ -22,7 +22,8 @@
 {
     if (candidate.m_excluded != exclusion::none || candidate.m_saturated)
         return false;
-    if (!candidate.m_has_idle_connection && !candidate.m_can_connect)
+    if (!candidate.m_has_idle_connection && !candidate.m_can_forward &&
+        !candidate.m_can_connect)
         return false;
     if (candidate.m_primary)
         return true;
@@ -43,7 +44,7 @@
     if (candidate.m_primary && !request.m_primary_only)
         time *= primary_weight;
     if (!candidate.m_has_idle_connection)
-        time += connect_cost;
+        time += candidate.m_can_forward ? remote_cost : connect_cost;
     if (!candidate.m_same_failure_domain)
         time += remote_cost;
     return time;
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -447,17 +447,19 @@
 {
     fake_host(const std::string& name, fake_platform& platform,
               fake_clock& clock, std::uint64_t incarnation = 1,
-              const base::failure_domain_id& domain = {})
+              const base::failure_domain_id& domain = {},
+              rpc::forwarding_link* forwarding = nullptr)
         : fake_host(options(name, name + ":1", incarnation, domain), platform,
-                    clock)
+                    clock, forwarding)
     {
     }
     fake_host(entry::host_options options, fake_platform& platform,
-              fake_clock& clock)
+              fake_clock& clock, rpc::forwarding_link* forwarding = nullptr)
         : m_address(options.m_fleet.m_address), m_store(platform, clock),
           m_promotions(platform),
-          m_host(std::move(options), {clock, m_sessions, m_endpoints, m_store,
-                                      m_promotions, m_datagrams, m_metrics})
+          m_host(std::move(options),
+                 {clock, m_sessions, m_endpoints, m_store, m_promotions,
+                  m_datagrams, m_metrics, forwarding})
     {
     }
 
