Test that statements read at a planned stop's hand-over are refused

Cause: the hand-over of a session had a test with fakes only; what the socket has read behind the statement that closes the session is refused by the session server.

Change: a process test sends a rollback and two reads in one packet after the hand-over has begun.

Ruled out: a caller that sends packets of statements without pause.

--- a/test/entry_process_test.cpp
+++ b/test/entry_process_test.cpp
@@ -362,3 +362,28 @@
                   std::string::npos, "a statement after TERM was cut");
     cr_assert_eq(host.wait_for_exit(30), 0);
 }
+
+// Guards against statements that arrived together and were read when their
+// session was closed: those behind the first got no answer.
+Test(entry_process, a_planned_stop_answers_all_statements_that_came_together)
+{
+    const entry_fixture f;
+    test::process host("magnolia-entry", {"--settings", f.m_settings}, f.m_log);
+    cr_assert(f.wait_until_ready());
+    tcp::iostream caller("127.0.0.1", std::to_string(f.m_callers));
+    cr_assert_eq(ask(caller, "START stock key-1"), "READY I -|");
+    ask_until_done(caller, "QUERY 1 READ x");
+    cr_assert(ask(caller, "QUERY 2 BEGIN").ends_with("READY T -|"));
+    host.signal(SIGTERM);
+    cr_assert(log_has(f.m_log, "event=drain_handing_over"));
+    caller << "QUERY 3 ROLLBACK\r\nQUERY 4 READ x\r\nQUERY 5 READ x\r\n"
+           << std::flush;
+    std::string all;
+    std::string line;
+    while (std::getline(caller, line))
+        all += line.substr(0, line.find(' ', 4)) + "|";
+    cr_assert_eq(all, "DONE|READY|ERR BUSY|READY|ERR BUSY|READY|", "%s",
+                 all.c_str());
+    cr_assert_eq(host.wait_for_exit(30), 0);
+    cr_assert(log_has(f.m_log, "reason=drained"));
+}
