Evacuate a failure domain when the operator's row asks for it

Cause: nothing could empty a failure domain. The hosts read only the key config of the operator's table, and went on with the domain's endpoints.

Change: the whole table op is read and watched. fleet::evacuations keeps the set of domains as of a version within an era, and merges readings, removals, peers' reports and returns of the store. Reports carry the set, and whoever learns of a change tells all hosts. The bound is [limits] evacuation. A return of the store keeps a lost order for 10 s.

Ruled out: closing all endpoints of the domain at once. Writers would have no primary until the replacement, which needs every host's release. Ruled out: counting the bound at each host from its own reading. A host that starts would use the domain for 3 s although the order may be old; it closes the domain at once instead.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -85,6 +85,9 @@
 
     virtual void configuration_changed(rpc::configuration_ptr configuration,
                                        base::instant now) = 0;
+    // Rows of the operator, before what they change is passed on.
+    virtual void operator_rows_read(const rpc::operator_rows& rows,
+                                    base::instant now) = 0;
     virtual void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints,
                       base::instant now) = 0;
@@ -192,7 +195,7 @@
                base::instant now);
     void use_configuration(const rpc::configuration_ptr& configuration,
                            base::instant now);
-    void take_configuration(const rpc::changes<rpc::configuration_ptr>& change,
+    void take_operator_rows(const rpc::operator_rows& change,
                             base::instant now);
     [[nodiscard]] bool are_endpoints_due(base::instant now) const;
     void keep_lapsed(std::vector<catalogue::endpoint_entry>& entries) const;
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -4,6 +4,7 @@
 
 #include "magnoliastack/entry/statement_runner.hpp"
 #include "magnoliastack/fleet/endpoint_relay.hpp"
+#include "magnoliastack/fleet/evacuations.hpp"
 #include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
 #include "magnoliastack/fleet/row_recovery.hpp"
@@ -76,6 +77,9 @@
     // A leadership row that the endpoints' entries contradict for this long is
     // wrong. An entry that is not renewed lapses sooner.
     absl::Duration m_contradicted_for = absl::Milliseconds(5000);
+    // What still runs in an evacuated failure domain is logged this often.
+    absl::Duration m_evacuation_line_interval = absl::Seconds(1);
+    fleet::evacuation_options m_evacuation;
     // Rows of one change; the store takes 100 entries.
     std::size_t m_largest_recovery = 90;
     lease::currency_options m_currency;
@@ -179,6 +183,7 @@
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints);
     void era_changed(rpc::store_era era, rpc::store_instant at,
                      base::instant now);
+    void operator_rows_read(const rpc::operator_rows& rows, base::instant now);
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now);
     void rows_confirmed(rpc::row_version version, rpc::store_instant at,
@@ -229,6 +234,9 @@
     [[nodiscard]] bool may_continue(const base::group_id& group,
                                     const base::endpoint_id& endpoint,
                                     base::instant now) const override;
+    [[nodiscard]] fleet::evacuation_phase
+    evacuation(const base::failure_domain_id& domain,
+               base::instant now) const override;
 
 private:
     // One group's leadership at this host.
@@ -238,7 +246,8 @@
         // none when several do.
         std::vector<catalogue::endpoint_entry> m_entries;
         std::optional<base::endpoint_id> m_initial_primary;
-        // The leader is listed and stays; kept when one of them changes.
+        // The leader is listed, stays and is not evacuated; kept when one of
+        // them changes.
         bool m_leader_stays = false;
         // Set while the row's primary calls itself a replica and another
         // endpoint calls itself primary: the store's time of the first such
@@ -302,6 +311,12 @@
     [[nodiscard]] bool are_all_rows_current(base::instant now) const;
     [[nodiscard]] bool counts_self(const fleet::member& host,
                                    base::instant now) const;
+    [[nodiscard]] bool is_evacuated(const group_leadership& group,
+                                    const base::endpoint_id& endpoint) const;
+    [[nodiscard]] bool has_place_to_go(const group_leadership& group,
+                                       base::instant now) const;
+    void evacuations_changed(const char* source, base::instant now);
+    void follow_evacuations(base::instant now);
     void stop_moving(const base::group_id& id, group_leadership& group,
                      base::instant now);
     void replace_primary(const base::group_id& id, group_leadership& group,
@@ -314,6 +329,10 @@
                                    handover::need need,
                                    base::instant now) const;
     [[nodiscard]] bool can_all_release(base::instant now) const;
+    [[nodiscard]] std::vector<base::endpoint_id>
+    promotion_candidates(const group_leadership& group,
+                         const base::endpoint_id& primary,
+                         base::instant now) const;
     [[nodiscard]] handover::promotion_inputs inputs(const base::group_id& id,
                                                     group_leadership& group,
                                                     handover::need why,
@@ -407,6 +426,10 @@
     // A peer has told of a leadership row that this host lacks.
     bool m_row_missing = false;
     fleet::endpoint_relay m_endpoints;
+    fleet::evacuations m_evacuations;
+    // Since when each evacuation has been in force here.
+    std::map<base::failure_domain_id, base::instant> m_evacuated_since;
+    base::instant m_next_evacuation_line;
     base::instant m_next_suspicion;
     std::size_t m_reading_place = 0;
     // Rows of members have changed, or a marked one has not lapsed yet.
--- a/include/magnoliastack/entry/placement.hpp
+++ b/include/magnoliastack/entry/placement.hpp
@@ -28,6 +28,8 @@
     absl::Duration m_answer_time;
     // It fails much of what it runs; used only when no other one may run it.
     bool m_avoided = false;
+    // It is the primary, and its failure domain is being evacuated.
+    bool m_evacuated = false;
     // A connection of the organisation is idle.
     bool m_has_idle_connection = false;
     // A connection may be opened, at the cost of an idle one if need be.
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -5,6 +5,7 @@
 #include "magnoliastack/entry/group_state.hpp"
 #include "magnoliastack/entry/placement.hpp"
 #include "magnoliastack/entry/session.hpp"
+#include "magnoliastack/fleet/evacuations.hpp"
 #include "magnoliastack/logging/logging.hpp"
 #include "magnoliastack/metrics/metrics.hpp"
 #include "magnoliastack/rpc/session_link.hpp"
@@ -68,6 +69,10 @@
     [[nodiscard]] virtual bool may_continue(const base::group_id& group,
                                             const base::endpoint_id& endpoint,
                                             base::instant now) const = 0;
+    // What may be done with endpoints of this failure domain.
+    [[nodiscard]] virtual fleet::evacuation_phase
+    evacuation(const base::failure_domain_id& domain,
+               base::instant now) const = 0;
 };
 
 // How a statement ended.
@@ -150,6 +155,9 @@
     // Sessions that run a statement or a transaction on the endpoint.
     [[nodiscard]] std::size_t
     in_flight(const base::endpoint_id& endpoint) const;
+    // The same for all endpoints of a failure domain.
+    [[nodiscard]] std::size_t
+    in_flight_in(const base::failure_domain_id& domain) const;
     // True when the endpoint is listed, stays, and has answered after the
     // instant.
     [[nodiscard]] bool has_answered_since(const base::endpoint_id& endpoint,
@@ -188,6 +196,9 @@
     };
 
     bool place(session& who, bool may_open, base::instant now);
+    void refuse(session& who, const group_state& group,
+                const placement_request& request, std::size_t candidates,
+                base::instant now);
     [[nodiscard]] static bool is_waiting(const session& who);
     [[nodiscard]] std::vector<rpc::session_number>
     waiting_in_order(const group_state& group) const;
@@ -195,6 +206,13 @@
     [[nodiscard]] const endpoint_state*
     find_endpoint(const base::endpoint_id& endpoint) const;
     void forgive_pause(base::instant now);
+    [[nodiscard]] fleet::evacuation_phase
+    evacuation(const endpoint_state& endpoint, base::instant now) const;
+    [[nodiscard]] bool is_closed(const endpoint_state& endpoint,
+                                 base::instant now) const;
+    void close_evacuated(endpoint_state& endpoint, base::instant now);
+    [[nodiscard]] bool is_primary_closed(const group_state& group,
+                                         base::instant now) const;
     [[nodiscard]] placement_request requirements(const session& who,
                                                  const group_state& group,
                                                  base::instant now) const;
--- a/include/magnoliastack/entry_settings/entry_settings.hpp
+++ b/include/magnoliastack/entry_settings/entry_settings.hpp
@@ -32,6 +32,9 @@
     std::string m_log_level;
     // Time between SIGTERM and the end of the process at the latest.
     absl::Duration m_stop_limit;
+    // Time after the acknowledgement of an evacuation within which nothing may
+    // reach the failure domain any more.
+    absl::Duration m_evacuation_limit;
     // Sessions that the host serves at once.
     std::uint32_t m_largest_sessions = 0;
 };
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -5,6 +5,7 @@
 #include "magnoliastack/base/error.hpp"
 #include "magnoliastack/base/ids.hpp"
 #include "magnoliastack/catalogue/endpoint_entry.hpp"
+#include "magnoliastack/fleet/evacuations.hpp"
 #include "magnoliastack/fleet/rows.hpp"
 #include "magnoliastack/quota/demand_table.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
@@ -66,6 +67,7 @@
     rpc::row_version m_leaderships_version;
     rpc::row_version m_leaderships_after;
     quota::demand_report m_demand;
+    evacuation_set m_evacuations;
     // Groups of which the host has news; the primaries of the others answer it,
     // or it has not asked them.
     std::vector<group_report> m_groups;
--- a/include/magnoliastack/rpc/fleet_store.hpp
+++ b/include/magnoliastack/rpc/fleet_store.hpp
@@ -68,6 +68,27 @@
 
 using configuration_ptr = std::shared_ptr<const catalogue::configuration>;
 
+// The operator's order to evacuate a failure domain, or its removal.
+struct evacuation_row
+{
+    base::failure_domain_id m_domain;
+    row_version m_version;
+    bool m_removed = false;
+};
+
+// Rows of the operator's table.
+struct operator_rows
+{
+    // The newest configuration, or none.
+    std::vector<configuration_ptr> m_configurations;
+    std::vector<evacuation_row> m_evacuations;
+    // These are all rows; otherwise they changed after the version asked for.
+    bool m_whole = false;
+    row_version m_version;
+    store_instant m_at;
+    store_era m_era;
+};
+
 // Reaches the store. Calls return at once and each callback comes once, on the
 // event loop, never from within a call. Errors: `unavailable` when the store
 // said that nothing was done, `deadline_exceeded` when the outcome is unknown,
@@ -81,15 +102,14 @@
 
     virtual ~fleet_store() = default;
 
-    // The newest configuration, or none, at once.
-    virtual void
-    read_configuration(absl::Duration timeout,
-                       callback<changes<configuration_ptr>> done) = 0;
-    // The next configuration after `version`, or none when `wait` is over.
-    virtual void
-    watch_configuration(row_version version, absl::Duration wait,
-                        absl::Duration timeout,
-                        callback<changes<configuration_ptr>> done) = 0;
+    // All rows of the operator, at once.
+    virtual void read_operator_rows(absl::Duration timeout,
+                                    callback<operator_rows> done) = 0;
+    // Rows of the operator that changed or were removed after `version`, or
+    // none when `wait` is over.
+    virtual void watch_operator_rows(row_version version, absl::Duration wait,
+                                     absl::Duration timeout,
+                                     callback<operator_rows> done) = 0;
 
     // All entries of endpoints.
     virtual void
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -110,8 +110,8 @@
 {
     started(m_configuration);
     const bool whole = m_configuration_row.value() == 0;
-    auto done = [this, whole, asked = m_era](
-                    base::result<rpc::changes<rpc::configuration_ptr>> result)
+    auto done =
+        [this, whole, asked = m_era](base::result<rpc::operator_rows> result)
     {
         const auto now = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
@@ -123,23 +123,24 @@
                   result ? "" : result.error().m_message, now) &&
             follow_era(result->m_era, result->m_version, result->m_at, now) &&
             (whole || asked == m_era))
-            take_configuration(*result, now);
+            take_operator_rows(*result, now);
     };
     if (whole)
-        m_store.read_configuration(m_options.m_call_timeout, std::move(done));
+        m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
     else
-        m_store.watch_configuration(m_configuration_row, watch_wait(),
+        m_store.watch_operator_rows(m_configuration_row, watch_wait(),
                                     watch_wait() + m_options.m_call_timeout,
                                     std::move(done));
 }
 
-void fleet_follower::take_configuration(
-    const rpc::changes<rpc::configuration_ptr>& change, base::instant now)
+void fleet_follower::take_operator_rows(const rpc::operator_rows& change,
+                                        base::instant now)
 {
     m_configuration_row = std::max(m_configuration_row, change.m_version);
-    if (change.m_rows.empty() && !has_configuration())
+    m_events.operator_rows_read(change, now);
+    if (change.m_configurations.empty() && !has_configuration())
         m_configuration.m_next = now + absl::Milliseconds(200);
-    for (const auto& item : change.m_rows)
+    for (const auto& item : change.m_configurations)
         use_configuration(item, now);
 }
 
@@ -345,16 +346,16 @@
          now - m_behind_since < m_options.m_large_catch_up_pause))
         return;
     started(m_catch_up);
-    m_store.read_configuration(
+    m_store.read_operator_rows(
         m_options.m_call_timeout,
-        [this](base::result<rpc::changes<rpc::configuration_ptr>> result)
+        [this](base::result<rpc::operator_rows> result)
         {
             const auto received = m_clock.now();
             if (ended(m_catch_up, result.has_value(),
                       result ? "" : result.error().m_message, received) &&
                 follow_era(result->m_era, result->m_version, result->m_at,
                            received))
-                take_configuration(*result, received);
+                take_operator_rows(*result, received);
             m_catch_up.m_next =
                 received + (is_large_fleet() ? m_options.m_large_catch_up_pause
                                              : m_options.m_catch_up_pause);
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -55,7 +55,8 @@
                          {
                              return item.m_id == *leader;
                          });
-        own.m_leaving = entry == group.m_entries.end() || entry->m_leaving;
+        own.m_leaving = entry == group.m_entries.end() || entry->m_leaving ||
+                        m_evacuations.is_evacuated(entry->m_failure_domain);
         own.m_unreachable = m_runner->unreachable_for(*leader, now);
     }
     // What others see counts only for a host that has no answer itself.
@@ -87,7 +88,11 @@
 {
     if (!group.m_needed_since || !m_store_reachable)
         return false;
-    if (why == need::planned &&
+    if (!has_place_to_go(group, now))
+        return false;
+    // An evacuated primary has to stop in any case.
+    const auto leader = primary(id, now);
+    if (why == need::planned && !(leader && is_evacuated(group, *leader)) &&
         now - *group.m_needed_since < m_options.m_planned_wait &&
         !can_all_release(now))
         return false;
@@ -110,6 +115,28 @@
     return true;
 }
 
+// Endpoints that may replace the primary; evacuated ones when there is no
+// other.
+std::vector<base::endpoint_id>
+fleet_service::promotion_candidates(const group_leadership& group,
+                                    const base::endpoint_id& primary,
+                                    base::instant now) const
+{
+    std::vector<base::endpoint_id> candidates;
+    std::vector<base::endpoint_id> evacuated;
+    for (const auto& entry : group.m_entries)
+    {
+        if (entry.m_leaving || entry.m_id == primary ||
+            m_runner->unreachable_for(entry.m_id, now) > absl::ZeroDuration())
+            continue;
+        if (m_evacuations.is_evacuated(entry.m_failure_domain))
+            evacuated.push_back(entry.m_id);
+        else
+            candidates.push_back(entry.m_id);
+    }
+    return candidates.empty() ? evacuated : candidates;
+}
+
 handover::promotion_inputs fleet_service::inputs(const base::group_id& id,
                                                  group_leadership& group,
                                                  need why, base::instant now)
@@ -131,14 +158,9 @@
                     : group.m_initial_primary.value_or(base::endpoint_id());
     given.m_released = is_released(id, group, now);
     given.m_primary_answers =
+        !is_evacuated(group, given.m_primary) &&
         m_runner->has_answered_since(given.m_primary, group.m_changed);
-    for (const auto& entry : group.m_entries)
-    {
-        if (entry.m_leaving || entry.m_id == given.m_primary)
-            continue;
-        if (m_runner->unreachable_for(entry.m_id, now) == absl::ZeroDuration())
-            given.m_candidates.push_back(entry.m_id);
-    }
+    given.m_candidates = promotion_candidates(group, given.m_primary, now);
     // The old primary itself, when it is back and nobody else is there.
     if (given.m_candidates.empty())
         for (const auto& entry : group.m_entries)
--- a/lib/entry/fleet_recovery.cpp
+++ b/lib/entry/fleet_recovery.cpp
@@ -20,7 +20,10 @@
     m_era_missing = false;
     m_recover_at = now;
     if (!is_return)
+    {
+        m_evacuations.era_changed(era, at);
         return;
+    }
     remember_rows();
     if (m_homes.is_large_fleet())
         m_recover_at = now + std::min(m_options.m_recovery_latest,
@@ -29,6 +32,8 @@
     m_log.warning(
         "rows_to_recover",
         {{"era", era}, {"at_ms", at}, {"members", m_members.all().size()}});
+    if (m_evacuations.era_changed(era, at))
+        evacuations_changed("return", now);
 }
 
 void fleet_service::remember_rows()
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -27,6 +27,7 @@
     // A large fleet divides neither rates nor connections by demand.
     if (!m_homes.is_large_fleet())
         report.m_demand = m_demand.report(m_tokens->tokens(now), now);
+    report.m_evacuations = m_evacuations.set();
     report.m_leaderships_version = m_leaderships_version;
     for (const auto& [id, group] : m_groups)
         if (!is_row_new(group, now))
@@ -263,6 +264,10 @@
         m_newest_configuration_at = now;
     }
     ask_configuration(taken, now);
+    if (m_evacuations.told(
+            taken.m_evacuations,
+            m_store_clock.latest(now).value_or(rpc::store_instant())))
+        evacuations_changed(host.str().c_str(), now);
     take_rows(taken, now);
     pass_members_on(*m_members.find(host), now);
     if (m_endpoints.should_ask(taken, now))
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -14,7 +14,8 @@
       m_shares(quotas.m_shares), m_homes(quotas.m_homes),
       m_currency(m_options.m_currency),
       m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members),
-      m_all_rows(m_options.m_currency), m_endpoints(m_options.m_self)
+      m_all_rows(m_options.m_currency), m_endpoints(m_options.m_self),
+      m_evacuations(m_options.m_evacuation)
 {
 }
 
@@ -24,6 +25,7 @@
     if (m_leaving)
         return;
     restore_rows(now);
+    follow_evacuations(now);
     register_self(now);
     mark_silent(now);
     update_homes(now);
@@ -78,10 +80,12 @@
         group.m_row ? group.m_row->m_primary : group.m_initial_primary;
     group.m_leader_stays =
         leader && std::any_of(group.m_entries.begin(), group.m_entries.end(),
-                              [&leader](const auto& entry)
+                              [this, &leader](const auto& entry)
                               {
                                   return entry.m_id == *leader &&
-                                         !entry.m_leaving;
+                                         !entry.m_leaving &&
+                                         !m_evacuations.is_evacuated(
+                                             entry.m_failure_domain);
                               });
     if (!is_contradicted(group))
         group.m_contradicted_since.reset();
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -169,6 +169,11 @@
     m_follower.endpoints_told(std::move(endpoints), at, now);
 }
 
+void host::operator_rows_read(const rpc::operator_rows& rows, base::instant now)
+{
+    m_fleet.operator_rows_read(rows, now);
+}
+
 void host::era_changed(rpc::store_era era, rpc::store_instant at,
                        base::instant now)
 {
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -112,6 +112,52 @@
     return count;
 }
 
+std::size_t
+statement_runner::in_flight_in(const base::failure_domain_id& domain) const
+{
+    std::size_t count = 0;
+    for (const auto& [number, item] : m_connections)
+    {
+        const endpoint_state* endpoint = find_endpoint(item->m_endpoint);
+        if (item->m_owner && endpoint != nullptr &&
+            endpoint->m_entry.m_failure_domain == domain)
+            ++count;
+    }
+    return count;
+}
+
+fleet::evacuation_phase
+statement_runner::evacuation(const endpoint_state& endpoint,
+                             base::instant now) const
+{
+    return m_primaries.evacuation(endpoint.m_entry.m_failure_domain, now);
+}
+
+bool statement_runner::is_closed(const endpoint_state& endpoint,
+                                 base::instant now) const
+{
+    return evacuation(endpoint, now) == fleet::evacuation_phase::closed;
+}
+
+// Nothing more may reach an evacuated endpoint; what runs there ends as the
+// loss of its connection requires.
+void statement_runner::close_evacuated(endpoint_state& endpoint,
+                                       base::instant now)
+{
+    const base::endpoint_id id = endpoint.m_entry.m_id;
+    endpoint.m_waiting_since.reset();
+    const std::size_t connections = endpoint.m_pool.size();
+    if (connections == 0)
+        return;
+    m_log.info("evacuated_endpoint_closed",
+               {{"endpoint", id},
+                {"domain", endpoint.m_entry.m_failure_domain},
+                {"connections", connections},
+                {"in_flight", in_flight(id)}});
+    m_metrics.counter("connections.closed.evacuated").add(connections);
+    drop_connections(id, now);
+}
+
 absl::Duration statement_runner::unreachable_for(const base::endpoint_id& id,
                                                  base::instant now) const
 {
@@ -157,6 +203,11 @@
         group.m_troubled = false;
         for (auto& [endpoint_id, endpoint] : group.m_endpoints)
         {
+            if (is_closed(endpoint, now))
+            {
+                close_evacuated(endpoint, now);
+                continue;
+            }
             check_silence(endpoint, now);
             trim(endpoint);
             group.m_troubled |= endpoint.is_troubled();
@@ -306,7 +357,7 @@
 void statement_runner::probe(endpoint_state& endpoint, base::instant now)
 {
     endpoint.m_next_try = now + m_options.m_retry_interval;
-    if (endpoint.m_pool.opening() > 0)
+    if (endpoint.m_pool.opening() > 0 || is_closed(endpoint, now))
         return;
     if (m_own_organisation.empty())
         return;
@@ -345,7 +396,7 @@
                                     control_request request, base::instant now)
 {
     endpoint_state* endpoint = find_endpoint(id);
-    if (endpoint == nullptr)
+    if (endpoint == nullptr || is_closed(*endpoint, now))
         return;
     connection* item = endpoint->m_pool.oldest_idle();
     if (item == nullptr)
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -6,6 +6,34 @@
 
 namespace magnoliastack::entry
 {
+namespace
+{
+
+// What the evacuated primary is not needed for goes elsewhere, even when that
+// means to wait for a connection.
+void leave_evacuated_out(const placement_request& request,
+                         std::vector<placement_candidate>& choices)
+{
+    if (request.m_primary_only || std::none_of(choices.begin(), choices.end(),
+                                               [](const auto& choice)
+                                               {
+                                                   return choice.m_evacuated;
+                                               }))
+        return;
+    std::vector<placement_candidate> others = choices;
+    std::erase_if(others,
+                  [](const auto& choice)
+                  {
+                      return choice.m_evacuated;
+                  });
+    auto free = others;
+    for (auto& choice : free)
+        choice.m_can_connect = true;
+    if (choose_endpoint(request, free))
+        choices = std::move(others);
+}
+
+} // namespace
 
 placement_request statement_runner::requirements(const session& who,
                                                  const group_state& group,
@@ -33,6 +61,10 @@
     for (auto& [id, endpoint] : group.m_endpoints)
     {
         const bool is_primary = primary == id;
+        const auto phase = evacuation(endpoint, now);
+        if (phase == fleet::evacuation_phase::closed ||
+            (phase == fleet::evacuation_phase::leaving && !is_primary))
+            continue;
         if (endpoint.m_health != endpoint_health::serving ||
             (endpoint.m_leaving && !is_primary))
             continue;
@@ -47,6 +79,7 @@
         if (now - endpoint.m_position_at < m_options.m_position_validity)
             candidate.m_position = endpoint.m_position;
         candidate.m_avoided = endpoint.m_failures.is_avoided(now);
+        candidate.m_evacuated = phase != fleet::evacuation_phase::none;
         candidate.m_in_flight = endpoint.m_pool.busy();
         candidate.m_slots = endpoint.m_entry.m_slots;
         candidate.m_answer_time = endpoint.m_answer_time;
@@ -63,6 +96,44 @@
     return result;
 }
 
+bool statement_runner::is_primary_closed(const group_state& group,
+                                         base::instant now) const
+{
+    const auto primary = m_primaries.primary(group.m_id, now);
+    if (!primary)
+        return false;
+    const auto found = group.m_endpoints.find(*primary);
+    return found != group.m_endpoints.end() && is_closed(found->second, now);
+}
+
+// Refuses what no endpoint may run.
+void statement_runner::refuse(session& who, const group_state& group,
+                              const placement_request& request,
+                              std::size_t candidates, base::instant now)
+{
+    const bool evacuated = is_primary_closed(group, now);
+    m_metrics.counter(evacuated ? "refused.evacuated" : "refused.no_endpoint")
+        .add();
+    const auto newest = group.m_bounds.newest();
+    const auto primary = m_primaries.primary(group.m_id, now);
+    m_log.info("no_endpoint",
+               {{"request", who.m_work->m_statement.m_id},
+                {"group", group.m_id},
+                {"primary", primary.value_or(base::endpoint_id())},
+                {"primary_only", request.m_primary_only},
+                {"evacuated", evacuated},
+                {"candidates", candidates},
+                {"log_end_age",
+                 newest ? now - newest->m_sent : absl::InfiniteDuration()},
+                {"staleness", who.m_route.m_max_staleness}});
+    const char* reason = "no endpoint is fresh enough";
+    if (evacuated)
+        reason = "the primary's failure domain is evacuated";
+    else if (request.m_primary_only)
+        reason = "no primary is known";
+    finish(who, rpc::statement_error::busy, reason, now);
+}
+
 // True when the work got an endpoint or ended.
 bool statement_runner::place(session& who, bool may_open, base::instant now)
 {
@@ -74,6 +145,7 @@
     }
     const auto request = requirements(who, *group, now);
     auto choices = candidates(who, *group, may_open, now);
+    leave_evacuated_out(request, choices);
     if (const auto chosen = choose_endpoint(request, choices))
     {
         who.m_work->m_after = request.m_after;
@@ -88,22 +160,7 @@
         wait(who, now);
         return false;
     }
-    m_metrics.counter("refused.no_endpoint").add();
-    const auto newest = group->m_bounds.newest();
-    const auto primary = m_primaries.primary(group->m_id, now);
-    m_log.info("no_endpoint",
-               {{"request", who.m_work->m_statement.m_id},
-                {"group", group->m_id},
-                {"primary", primary.value_or(base::endpoint_id())},
-                {"primary_only", request.m_primary_only},
-                {"candidates", choices.size()},
-                {"log_end_age",
-                 newest ? now - newest->m_sent : absl::InfiniteDuration()},
-                {"staleness", who.m_route.m_max_staleness}});
-    finish(who, rpc::statement_error::busy,
-           request.m_primary_only ? "no primary is known"
-                                  : "no endpoint is fresh enough",
-           now);
+    refuse(who, *group, request, choices.size(), now);
     return true;
 }
 
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -60,6 +60,12 @@
         return;
     }
     what.m_connection = pinned->m_number;
+    if (const endpoint_state* endpoint = find_endpoint(pinned->m_endpoint);
+        endpoint != nullptr && is_closed(*endpoint, now))
+    {
+        connection_lost(*pinned, now);
+        return;
+    }
     if (what.m_primary_only &&
         !m_primaries.may_continue(who.m_route.m_group, pinned->m_endpoint, now))
     {
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -67,6 +67,42 @@
     return to;
 }
 
+void write_evacuations(wire::Report::Builder to, const evacuation_set& from)
+{
+    to.setEvacuationsEra(from.m_era.value());
+    to.setEvacuationsVersion(from.m_version.value());
+    auto items =
+        to.initEvacuations(static_cast<unsigned>(from.m_domains.size()));
+    unsigned index = 0;
+    for (const auto& [domain, known] : from.m_domains)
+    {
+        auto item = items[index++];
+        item.setFailureDomain(domain.str());
+        item.setState(static_cast<std::uint8_t>(known.m_state));
+        item.setVersion(known.m_version.value());
+        item.setSince(known.m_since.value());
+    }
+}
+
+// An evacuation in a state that this version does not know is left out.
+evacuation_set read_evacuations(wire::Report::Reader from)
+{
+    evacuation_set to;
+    to.m_era = rpc::store_era(from.getEvacuationsEra());
+    to.m_version = rpc::row_version(from.getEvacuationsVersion());
+    for (const auto item : from.getEvacuations())
+    {
+        if (item.getState() >
+            static_cast<std::uint8_t>(evacuation_state::cancelled))
+            continue;
+        to.m_domains[base::failure_domain_id(text(item.getFailureDomain()))] = {
+            static_cast<evacuation_state>(item.getState()),
+            rpc::row_version(item.getVersion()),
+            rpc::store_instant(item.getSince())};
+    }
+    return to;
+}
+
 host_report read(wire::Report::Reader from)
 {
     host_report to;
@@ -91,6 +127,7 @@
              item.getMilliRate() / milli, item.getTokens()});
     for (const auto item : from.getGroups())
         to.m_groups.push_back(read_group(item));
+    to.m_evacuations = read_evacuations(from);
     return to;
 }
 
@@ -126,6 +163,7 @@
     index = 0;
     for (const auto& group : report.m_groups)
         write_group(groups[index++], group);
+    write_evacuations(root, report.m_evacuations);
 }
 
 void write(wire::Tokens::Builder to, const token_transfer& from)
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -166,6 +166,18 @@
   rowIncluded @13 :Bool;
 }
 
+# A failure domain that is evacuated, or was.
+struct Evacuation {
+  failureDomain @0 :Text;
+  # 0 ordered by its row, 1 kept although a return of the store has lost the
+  # row, 2 cancelled.
+  state @1 :UInt8;
+  # Version of the row; 0 when it is not there.
+  version @2 :UInt64;
+  # The store's time in milliseconds at which a host saw the row first.
+  since @3 :UInt64;
+}
+
 struct Report {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -197,4 +209,9 @@
   storeEra @15 :UInt64;
   # The host was there before the era, and the store has all that it knew.
   recovered @16 :Bool;
+  # Evacuations as of a version within an era of the store; version 0 while the
+  # host knows of none.
+  evacuations @17 :List(Evacuation);
+  evacuationsEra @18 :UInt64;
+  evacuationsVersion @19 :UInt64;
 }
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -42,6 +42,8 @@
 struct fake_sessions final : rpc::session_link
 {
     std::map<std::uint64_t, std::vector<std::string>> m_sent;
+    // Text of each session's last error.
+    std::map<std::uint64_t, std::string> m_texts;
     std::set<std::uint64_t> m_closed;
 
     void row(rpc::session_number session, std::string_view row) override
@@ -54,8 +56,9 @@
             "done " + (signature.empty() ? "-" : std::string(signature)));
     }
     void failed(rpc::session_number session, rpc::statement_error error,
-                std::string_view /*text*/) override
+                std::string_view text) override
     {
+        m_texts[session.value()] = std::string(text);
         m_sent[session.value()].push_back(std::string("err ") +
                                           rpc::to_string(error));
     }
@@ -84,17 +87,22 @@
     std::map<base::connection_generation, rpc::connection_target> m_open;
     std::vector<base::connection_generation> m_opening;
     std::deque<sent_request> m_requests;
+    // Connections opened and requests sent, by endpoint.
+    std::map<std::string, std::uint64_t> m_reached;
 
     void open(base::connection_generation connection,
               const rpc::connection_target& target) override
     {
         m_open[connection] = target;
         m_opening.push_back(connection);
+        ++m_reached[target.m_endpoint.str()];
     }
     void send(base::connection_generation connection,
               const rpc::endpoint_request& request) override
     {
         m_requests.push_back({connection, request});
+        if (const auto target = m_open.find(connection); target != m_open.end())
+            ++m_reached[target->second.m_endpoint.str()];
     }
     void close(base::connection_generation connection) override
     {
@@ -111,6 +119,9 @@
     rpc::row_version m_configuration_version;
     std::vector<catalogue::endpoint_entry> m_entries;
     std::map<std::string, rpc::fleet_row> m_rows;
+    // Rows `evacuate/DOMAIN`, removed ones too, and the newest version of them.
+    std::map<std::string, rpc::evacuation_row> m_evacuations;
+    rpc::row_version m_evacuations_version;
 };
 
 // A promotion that the platform was asked for.
@@ -131,6 +142,14 @@
         m_configuration_version = rpc::row_version(++m_version);
     }
 
+    // The operator evacuates a failure domain, or takes it back.
+    void evacuate(const std::string& domain, bool removed = false)
+    {
+        m_evacuations_version = rpc::row_version(++m_version);
+        m_evacuations[domain] = {base::failure_domain_id(domain),
+                                 m_evacuations_version, removed};
+    }
+
     // The store as it is now, to come back from later.
     [[nodiscard]] stored_state copy() const
     {
@@ -161,19 +180,22 @@
         return rpc::store_instant(static_cast<std::uint64_t>(
             absl::ToInt64Milliseconds(m_clock.m_now - base::instant())));
     }
-    void read_configuration(
-        absl::Duration /*timeout*/,
-        callback<rpc::changes<rpc::configuration_ptr>> done) override
+    void read_operator_rows(absl::Duration /*timeout*/,
+                            callback<rpc::operator_rows> done) override
     {
         ++m_made;
-        rpc::changes<rpc::configuration_ptr> all;
+        rpc::operator_rows all;
+        all.m_whole = true;
         if (m_platform.m_configuration)
-            all.m_rows.push_back(m_platform.m_configuration);
+            all.m_configurations.push_back(m_platform.m_configuration);
+        for (const auto& [domain, row] : m_platform.m_evacuations)
+            if (!row.m_removed)
+                all.m_evacuations.push_back(row);
         finish(std::move(done), std::move(all));
     }
-    void watch_configuration(
-        rpc::row_version version, absl::Duration wait, absl::Duration timeout,
-        callback<rpc::changes<rpc::configuration_ptr>> done) override
+    void watch_operator_rows(rpc::row_version version, absl::Duration wait,
+                             absl::Duration /*timeout*/,
+                             callback<rpc::operator_rows> done) override
     {
         if (m_watch_silent)
             return;
@@ -181,12 +203,13 @@
             [this, version]
             {
                 return m_platform.m_configuration_version > version ||
+                       m_platform.m_evacuations_version > version ||
                        has_lost(version);
             },
             wait,
-            [this, version, timeout, done = std::move(done)]
+            [this, version, done = std::move(done)]
             {
-                read_changed_configuration(version, timeout, done);
+                read_changed_operator_rows(version, done);
             });
     }
     void read_endpoints(
@@ -317,8 +340,8 @@
     }
 
     // Answers that the history is gone.
-    template <typename Row>
-    void refuse(callback<rpc::changes<Row>> done)
+    template <typename Answer>
+    void refuse(callback<Answer> done)
     {
         m_calls.emplace_back(
             [this, done = std::move(done)]
@@ -330,16 +353,23 @@
             });
     }
 
-    void read_changed_configuration(
-        rpc::row_version version, absl::Duration timeout,
-        callback<rpc::changes<rpc::configuration_ptr>> done)
+    void read_changed_operator_rows(rpc::row_version version,
+                                    callback<rpc::operator_rows> done)
     {
         if (has_lost(version))
+        {
             refuse(std::move(done));
-        else if (m_platform.m_configuration_version > version)
-            read_configuration(timeout, std::move(done));
-        else
-            finish(std::move(done), rpc::changes<rpc::configuration_ptr>());
+            return;
+        }
+        rpc::operator_rows changed;
+        if (m_platform.m_configuration_version > version)
+            changed.m_configurations.push_back(m_platform.m_configuration);
+        for (const auto& [domain, row] : m_platform.m_evacuations)
+            if (row.m_version > version)
+                changed.m_evacuations.push_back(row);
+        if (!changed.m_configurations.empty() || !changed.m_evacuations.empty())
+            ++m_made;
+        finish(std::move(done), std::move(changed));
     }
 
     [[nodiscard]] std::vector<rpc::fleet_row>
@@ -353,8 +383,8 @@
         return rows;
     }
 
-    template <typename Row>
-    void finish(callback<rpc::changes<Row>> done, rpc::changes<Row> all)
+    template <typename Answer>
+    void finish(callback<Answer> done, Answer all)
     {
         all.m_version = rpc::row_version(m_platform.m_version);
         all.m_at = at();
--- a/unittests/entry_settings/entry_settings_test.cpp
+++ b/unittests/entry_settings/entry_settings_test.cpp
@@ -35,6 +35,18 @@
     cr_assert_eq(parsed->m_largest_sessions, 3500);
 }
 
+// A deployment that declares no bound has no line for it.
+Test(entry_settings, an_undeclared_evacuation_bound_is_five_seconds)
+{
+    const auto parsed = entry_settings::parse(good, "f");
+    cr_assert(parsed.has_value());
+    cr_assert_eq(parsed->m_evacuation_limit, absl::Seconds(5));
+    const auto declared =
+        entry_settings::parse(good + "evacuation = 4000ms\n", "f");
+    cr_assert(declared.has_value());
+    cr_assert_eq(declared->m_evacuation_limit, absl::Seconds(4));
+}
+
 Test(entry_settings, each_wrong_file_gives_one_line_with_its_place)
 {
     const std::vector<std::pair<std::string, std::string>> wrong = {
@@ -46,6 +58,8 @@
         {with("stop = 6s", "stop = 6"), "stop"},
         {with("stop = 6s", "stop = 0s"), "stop"},
         {with("stop = 6s", "stops = 6s"), "stops"},
+        {with("stop = 6s", "evacuation = 0ms"), "evacuation"},
+        {with("stop = 6s", "evacuation = ms"), "evacuation"},
         {with("[limits]", "[limit]"), "limit"},
         {with("stop = 6s", "sessions = 0"), "sessions"},
         {with("store = 10.0.0.9:5", "store = 10.0.0.9"), "store"},
