Start promotions at once while this host holds the duty

Cause: the holder of the duty waited for its rank in each group's order, 150 ms for each place, though no other host may start a promotion meanwhile. Its claims also each wrote the duty's row, so of several claims made at once all but one expected a version that was gone.

Change: is_own_turn lets the holder start at once.

Ruled out: one claim for all groups. A group whose row has changed would fail the claim of all.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -324,6 +324,7 @@
     [[nodiscard]] handover::need assess(const base::group_id& id,
                                         const group_leadership& group,
                                         base::instant now) const;
+    [[nodiscard]] bool holds_duty(base::instant now) const;
     [[nodiscard]] bool is_own_turn(const base::group_id& id,
                                    const group_leadership& group,
                                    handover::need need,
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -80,8 +80,18 @@
     return handover::assess(own, others, m_options.m_assessment);
 }
 
+// True while this process holds the duty by the store's clock.
+bool fleet_service::holds_duty(base::instant now) const
+{
+    const auto latest = m_store_clock.latest(now);
+    return m_duty && latest && m_duty->m_holder == m_options.m_self &&
+           m_duty->m_incarnation == m_options.m_incarnation &&
+           *latest < m_duty->m_until;
+}
+
 // The live hosts take turns. While one of them holds the duty, the others
-// leave the start to it.
+// leave the start to it, so it does not wait for its turn: eight groups whose
+// primaries went at the same time were replaced one after the other.
 bool fleet_service::is_own_turn(const base::group_id& id,
                                 const group_leadership& group, need why,
                                 base::instant now) const
@@ -96,6 +106,8 @@
         now - *group.m_needed_since < m_options.m_planned_wait &&
         !can_all_release(now))
         return false;
+    if (holds_duty(now))
+        return true;
     const auto hosts = m_members.order(id.str(), now);
     const auto place = std::find(hosts.begin(), hosts.end(), m_options.m_self);
     const auto rank = place - hosts.begin();
--- a/unittests/entry/evacuation_test.cpp
+++ b/unittests/entry/evacuation_test.cpp
@@ -511,3 +511,17 @@
                          absl::ToInt64Milliseconds(begun));
         }
 }
+
+// The holder of the duty waited for its turn in each group, so eight groups
+// were replaced one after the other.
+Test(evacuation, the_primaries_of_eight_groups_are_replaced_together)
+{
+    world w(16, 8);
+    w.evacuate("a");
+    const auto& promoted = w.m_fleet.m_platform.m_promoted;
+    for (int count = 0; count < 200 && promoted.empty(); ++count)
+        w.run(step);
+    cr_assert_not(promoted.empty());
+    w.run(absl::Milliseconds(500));
+    cr_assert_eq(promoted.size(), 8);
+}
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -212,6 +212,36 @@
                  "the token grows when the holder changes");
 }
 
+// Claims for several groups at once each wrote the duty's row, so all but the
+// first had expected a version that was gone.
+Test(promotion, a_claim_leaves_the_duty_as_it_is_while_its_holder_has_it)
+{
+    promotion_fixture f;
+    f.m_inputs.m_duty =
+        fleet::duty_row{base::host_id("self"), base::incarnation(7), 4,
+                        rpc::store_instant(4000)};
+    f.m_inputs.m_duty_version = rpc::row_version(9);
+    f.step();
+    const auto claim = f.sent<change_rows>();
+    cr_assert(claim.has_value());
+    cr_assert_eq(claim->m_change.m_writes.size(), 1);
+    cr_assert_eq(claim->m_change.m_expected.front().first, fleet::duty_key);
+    cr_assert_eq(claim->m_change.m_expected.front().second.value(), 9);
+}
+
+// A claim near the end of the duty's time renews it, or it ends in between.
+Test(promotion, a_claim_renews_a_duty_that_ends_soon)
+{
+    promotion_fixture f;
+    f.m_inputs.m_duty =
+        fleet::duty_row{base::host_id("self"), base::incarnation(7), 4,
+                        rpc::store_instant(2000)};
+    f.step();
+    f.apply();
+    cr_assert_gt(f.m_inputs.m_duty->m_until.value(), 2000);
+    cr_assert_eq(f.m_inputs.m_duty->m_token, 4);
+}
+
 Test(promotion, a_planned_change_waits_for_the_replica_to_catch_up)
 {
     promotion_fixture f;
