--- a/unittests/entry/evacuation_test.cpp
+++ b/unittests/entry/evacuation_test.cpp
@@ -385,7 +385,10 @@
     w.evacuate("a");
     w.run(bound);
     w.m_fleet.m_platform.come_back(older);
-    w.expect_silence("a", absl::Seconds(5));
+    // With nothing else left the domain would be used.
+    w.evacuate("b");
+    w.evacuate("c");
+    w.expect_silence("a", absl::Seconds(8));
     w.evacuate("a");
     w.expect_silence("a", absl::Seconds(15));
 }
@@ -422,18 +425,32 @@
                   "it has not read the table");
 }
 
+// An order that had stood for long gave hosts that started three seconds more.
+Test(evacuation, hosts_that_start_give_a_standing_order_no_time)
+{
+    world w;
+    for (const char* domain : domains)
+        w.evacuate(domain);
+    w.run(bound);
+    for (std::size_t host = 0; host < 3; ++host)
+        w.restart(host);
+    for (int count = 0; count < 100; ++count)
+        for (const char* domain : domains)
+            w.expect_silence(domain, step);
+}
+
 // A host whose watch had gone silent learned of it seconds later.
 Test(evacuation, a_host_that_hears_only_its_peers_learns_of_it)
 {
     world w;
     w.run(absl::Seconds(1));
-    w.m_fleet.host(2).m_store.m_watch_silent = true;
-    w.m_fleet.host(2).m_store.m_reachable = false;
+    w.m_fleet.host(0).m_store.m_watch_silent = true;
+    w.m_fleet.host(0).m_store.m_reachable = false;
     w.evacuate("a");
     w.run(bound);
     w.expect_silence("a", absl::Seconds(10));
-    w.m_fleet.host(2).m_store.m_watch_silent = false;
-    w.m_fleet.host(2).m_store.m_reachable = true;
+    w.m_fleet.host(0).m_store.m_watch_silent = false;
+    w.m_fleet.host(0).m_store.m_reachable = true;
     w.run(absl::Seconds(3));
     w.expect_silence("a", absl::Seconds(3));
 }
--- a/unittests/platform/row_store_test.cpp
+++ b/unittests/platform/row_store_test.cpp
@@ -120,8 +120,89 @@
     std::size_t m_reads = 0;
 };
 
+// Answers every request with the same rows.
+class fixed_store
+{
+public:
+    fixed_store(asio::io_context& loop, const nlohmann::json& rows)
+        : m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          m_socket(loop)
+    {
+        const nlohmann::json page = {
+            {"ver", 40}, {"now_ms", 9000}, {"rows", rows}};
+        m_response.body() = page.dump();
+        m_response.set("Store-Era", "3");
+        m_response.prepare_payload();
+        m_acceptor.async_accept(m_socket,
+                                [this](const boost::system::error_code& error)
+                                {
+                                    if (!error)
+                                        read();
+                                });
+    }
+
+    [[nodiscard]] tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+private:
+    void read()
+    {
+        http::async_read(m_socket, m_buffer, m_request,
+                         [this](const boost::system::error_code& error,
+                                std::size_t /*bytes*/)
+                         {
+                             if (!error)
+                                 http::async_write(
+                                     m_socket, m_response,
+                                     [](const boost::system::error_code&,
+                                        std::size_t /*bytes*/) {});
+                         });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    http::response<http::string_body> m_response{http::status::ok, 11};
+};
+
 } // namespace
 
+// The watch of the operator's table dropped every key but the configuration's,
+// and rows that were removed.
+Test(row_store, evacuations_and_their_removals_come_with_the_watch)
+{
+    asio::io_context loop;
+    fixed_store server(
+        loop, {{{"key", "evacuate/sohar"}, {"ver", 38}, {"value", "e30="}},
+               {{"key", "evacuate/adam"}, {"ver", 39}, {"removed", true}},
+               {{"key", "evacuate/"}, {"ver", 39}, {"value", "e30="}},
+               {{"key", "other"}, {"ver", 40}, {"value", "e30="}}});
+    row_store store(loop, server.address());
+    rpc::operator_rows rows;
+    store.watch_operator_rows(
+        rpc::row_version(30), absl::Seconds(1), absl::Seconds(5),
+        [&](const base::result<rpc::operator_rows>& result)
+        {
+            cr_assert(result.has_value());
+            rows = *result;
+            loop.stop();
+        });
+    loop.run();
+    cr_assert_not(rows.m_whole);
+    cr_assert_eq(rows.m_era.value(), 3);
+    cr_assert_eq(rows.m_version.value(), 40);
+    cr_assert(rows.m_configurations.empty());
+    cr_assert_eq(rows.m_evacuations.size(), 2);
+    cr_assert_eq(rows.m_evacuations[0].m_domain.str(), "sohar");
+    cr_assert_eq(rows.m_evacuations[0].m_version.value(), 38);
+    cr_assert_not(rows.m_evacuations[0].m_removed);
+    cr_assert_eq(rows.m_evacuations[1].m_domain.str(), "adam");
+    cr_assert(rows.m_evacuations[1].m_removed);
+}
+
 // The sweep at 100 hosts: only the first 500 endpoints were known, and callers
 // of the other groups were refused.
 Test(row_store, all_pages_of_the_endpoints_are_read)
