Evacuate failure domains in the soak

Cause: nothing outside the unit tests showed that a fleet of processes keeps to the bound in faults.

Change: the stand-in store has evacuation rows with removals, and its operator writes them again after a return. The soak evacuates one domain after the other at random moments, and each line that reaches an endpoint of it later than 5 s after the acknowledgement, or after the last disturbance of the store, a way to it or a paused host before that, is a finding. After half of the evacuations no fault of the store begins for the bound. The bound once over stays so.

Ruled out: to start the bound anew at every fault. Faults overlap nearly all the time, so nothing would be judged.

--- a/test/soak/checker.cpp
+++ b/test/soak/checker.cpp
@@ -13,6 +13,9 @@
 constexpr double quota_over = 1.1;
 constexpr double quota_slack = 20;
 
+// Nothing reaches an evacuated domain after this.
+constexpr std::chrono::seconds evacuation_bound{5};
+
 bool shows(const std::vector<commit_ptr>& applied, const commit_ptr& what)
 {
     return what->m_number <= applied.size() &&
@@ -21,6 +24,39 @@
 
 } // namespace
 
+void checker::evacuated(const std::string& domain)
+{
+    m_silent_from[domain] = clock::now() + evacuation_bound;
+}
+
+void checker::taken_back(const std::string& domain)
+{
+    m_silent_from.erase(domain);
+}
+
+void checker::store_disturbed()
+{
+    const auto now = clock::now();
+    for (auto& [domain, from] : m_silent_from)
+        if (now < from)
+            from = now + evacuation_bound;
+}
+
+void checker::reached(const std::string& domain, const std::string& line)
+{
+    const auto found = m_silent_from.find(domain);
+    const auto now = clock::now();
+    if (found == m_silent_from.end() || now < found->second)
+        return;
+    broken("EVACUATED",
+           domain + " got \"" + line.substr(0, 40) + "\" " +
+               std::to_string(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       now - found->second)
+                       .count()) +
+               " ms after the bound");
+}
+
 void checker::sent(const std::string& id, const demand& what)
 {
     m_demands[id] = what;
--- a/test/soak/checker.hpp
+++ b/test/soak/checker.hpp
@@ -69,6 +69,15 @@
     }
     void set_limit(const std::string& organisation, double rate, double burst);
 
+    // The store has acknowledged an evacuation, or its end.
+    void evacuated(const std::string& domain);
+    void taken_back(const std::string& domain);
+    // The store or the hosts' ways to it are in trouble, or a host stands
+    // still: bounds of evacuations start anew.
+    void store_disturbed();
+    // Something has reached an endpoint of the domain.
+    void reached(const std::string& domain, const std::string& line);
+
     // A caller was told that the statement's work is there; null without one.
     void succeeded(const std::string& id, const commit_ptr& what);
     // A caller was promised that nothing of the statement is kept.
@@ -98,6 +107,9 @@
     std::map<std::string, std::vector<clock::time_point>> m_admitted;
     std::set<std::string> m_counted;
     std::map<std::uint64_t, std::string> m_holders;
+    // Failure domains that are evacuated, and from when on nothing may reach
+    // them. A bound that is over stays so: an evacuation never ends by itself.
+    std::map<std::string, clock::time_point> m_silent_from;
     std::vector<std::string> m_findings;
 };
 
--- a/test/soak/database.cpp
+++ b/test/soak/database.cpp
@@ -54,6 +54,8 @@
                 std::string line;
                 std::getline(stream, line);
                 line.pop_back();
+                self->m_owner.m_owner.judge().reached(self->m_owner.m_domain,
+                                                      line);
                 self->m_timer.expires_after(work_time);
                 self->m_timer.async_wait(
                     [self, line](error_code failed)
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t largest_overlap = 4;
 constexpr std::size_t kinds_of_each = 5;
 
+const char* const domains[] = {"d0", "d1", "d2"};
+// The bound of an evacuation with some time to spare.
+constexpr std::chrono::milliseconds judged_time{5500};
+
 std::function<void()> nothing()
 {
     return [] {};
@@ -43,9 +47,15 @@
         m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(at));
         ended.m_undo();
         m_world.disturbed();
+        if (ended.m_store)
+            m_world.m_judge.store_disturbed();
     }
     if (!m_running.empty())
         m_world.disturbed();
+    for (const auto& item : m_running)
+        if (item.m_store)
+            m_world.m_judge.store_disturbed();
+    change_evacuation();
     if (now < m_next || m_running.size() >= largest_overlap)
         return;
     m_next = now + std::chrono::milliseconds(150 + draw(1200));
@@ -56,15 +66,51 @@
 {
     for (auto& item : std::exchange(m_running, {}))
         item.m_undo();
+    if (!m_evacuated.empty())
+    {
+        m_world.m_judge.taken_back(m_evacuated);
+        m_world.m_store->take_back(m_evacuated);
+        m_evacuated.clear();
+    }
     m_world.disturbed();
 }
 
+// At random moments the operator evacuates a domain and takes it back. After
+// every second evacuation the store is left in peace for the bound.
+void fault_plan::change_evacuation()
+{
+    const auto now = clock::now();
+    if (now < m_next_evacuation)
+        return;
+    m_next_evacuation = now + std::chrono::milliseconds(1000 + draw(14'000));
+    if (!m_evacuated.empty())
+    {
+        std::printf("evacuation of %s taken back\n", m_evacuated.c_str());
+        m_world.m_judge.taken_back(m_evacuated);
+        m_world.m_store->take_back(m_evacuated);
+        m_evacuated.clear();
+        return;
+    }
+    m_evacuated = domains[draw(3)];
+    if (draw(2) == 0)
+        m_store_quiet_until = now + judged_time;
+    std::printf("evacuation of %s\n", m_evacuated.c_str());
+    m_world.m_store->evacuate(m_evacuated);
+    m_world.m_judge.evacuated(m_evacuated);
+}
+
 void fault_plan::begin()
 {
     std::string name;
     std::function<void()> undo;
     const std::size_t kind = draw(kinds_of_each);
-    switch (draw(5))
+    const std::size_t about = draw(5);
+    // The last kind of a host's faults is a pause.
+    const bool of_store =
+        about == 1 || about == 2 || (about == 0 && kind + 1 == kinds_of_each);
+    if (of_store && clock::now() < m_store_quiet_until)
+        return;
+    switch (about)
     {
     case 0:
         undo = begin_on_host(kind, name);
@@ -85,7 +131,8 @@
     const auto length = std::chrono::milliseconds(200 + draw(5000));
     std::printf("fault %s for %lld ms\n", name.c_str(),
                 static_cast<long long>(length.count()));
-    m_running.push_back({name, clock::now() + length, std::move(undo)});
+    m_running.push_back(
+        {name, clock::now() + length, std::move(undo), of_store});
     m_world.disturbed();
 }
 
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -18,6 +18,8 @@
     std::string m_name;
     clock::time_point m_until;
     std::function<void()> m_undo;
+    // It concerns the store, a way to it, or a host that stands still.
+    bool m_store = false;
 };
 
 // Draws faults, lets them overlap and ends them.
@@ -33,6 +35,7 @@
 
 private:
     void begin();
+    void change_evacuation();
     [[nodiscard]] std::size_t draw(std::size_t below);
     [[nodiscard]] std::function<void()> begin_on_host(std::size_t kind,
                                                       std::string& name);
@@ -49,6 +52,11 @@
     std::mt19937& m_random;
     std::vector<running_fault> m_running;
     clock::time_point m_next;
+    // The domain that is evacuated, and when that changes.
+    std::string m_evacuated;
+    clock::time_point m_next_evacuation;
+    // Until then no fault of the store begins, so that the bound is judged.
+    clock::time_point m_store_quiet_until;
 };
 
 } // namespace magnoliastack::soak
--- a/test/soak/store.cpp
+++ b/test/soak/store.cpp
@@ -277,7 +277,8 @@
         return result;
     for (const auto& [key, row] : found->second)
     {
-        if (row.at("ver").get<std::uint64_t>() <= after)
+        if (row.at("ver").get<std::uint64_t>() <= after ||
+            (after == 0 && row.contains("removed")))
             continue;
         result.push_back(shown(row, host));
     }
@@ -355,6 +356,17 @@
     notify();
 }
 
+void store::remove(const std::string& table, const std::string& key)
+{
+    const auto found = m_rows[table].find(key);
+    if (found == m_rows[table].end() || found->second.contains("removed"))
+        return;
+    found->second.erase("value");
+    found->second["removed"] = true;
+    found->second["ver"] = ++m_version;
+    notify();
+}
+
 void store::notify()
 {
     const auto watchers = std::exchange(m_watchers, {});
@@ -373,6 +385,28 @@
     put("op", "config", m_configuration);
 }
 
+void store::evacuate(const std::string& domain)
+{
+    m_evacuated[domain] = true;
+    put("op", absl::StrCat("evacuate/", domain), "{}");
+}
+
+void store::take_back(const std::string& domain)
+{
+    m_evacuated[domain] = false;
+    remove("op", absl::StrCat("evacuate/", domain));
+}
+
+void store::write_operator_rows()
+{
+    put("op", "config", m_configuration);
+    for (const auto& [domain, evacuated] : m_evacuated)
+        if (evacuated)
+            evacuate(domain);
+        else
+            take_back(domain);
+}
+
 void store::keep_copy()
 {
     const auto now = clock::now();
@@ -396,7 +430,7 @@
     for (const auto& item : std::exchange(m_watchers, {}))
         if (const auto live = item.lock())
             live->drop();
-    put("op", "config", m_configuration);
+    write_operator_rows();
 }
 
 void store::set_entry(const endpoint& what, const std::string& group,
--- a/test/soak/store.hpp
+++ b/test/soak/store.hpp
@@ -48,6 +48,9 @@
 
     // The operator writes a configuration; the version rises by itself.
     void configure(nlohmann::json configuration);
+    // The operator evacuates a failure domain, and takes it back.
+    void evacuate(const std::string& domain);
+    void take_back(const std::string& domain);
     // An endpoint's entry; none when it has left or is silent.
     void set_entry(const endpoint& what, const std::string& group,
                    std::uint64_t sequence);
@@ -92,6 +95,10 @@
     bool change(const json& asked, std::size_t host, json& answer);
     void put(const std::string& table, const std::string& key,
              const std::string& value);
+    // Removes the row; watches tell of it.
+    void remove(const std::string& table, const std::string& key);
+    // The operator writes again what a copy lacks.
+    void write_operator_rows();
     void notify();
 
     asio::io_context& m_loop;
@@ -108,6 +115,9 @@
     // The operator's newest configuration; its versions never go back.
     std::uint64_t m_configuration_version = 0;
     std::string m_configuration;
+    // Failure domains that the operator has evacuated, and whether they still
+    // are.
+    std::map<std::string, bool> m_evacuated;
     std::map<std::string, const endpoint*> m_endpoints;
     std::list<std::weak_ptr<connection>> m_watchers;
     unsigned m_draws = 0;
