--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -7,6 +7,7 @@
 #include "magnoliastack/entry/home_regions.hpp"
 #include "magnoliastack/entry/placement.hpp"
 #include "magnoliastack/entry/session.hpp"
+#include "magnoliastack/fleet/evacuations.hpp"
 #include "magnoliastack/logging/logging.hpp"
 #include "magnoliastack/metrics/metrics.hpp"
 #include "magnoliastack/rpc/session_link.hpp"
@@ -77,6 +78,10 @@
     [[nodiscard]] virtual bool may_continue(const base::group_id& group,
                                             const base::endpoint_id& endpoint,
                                             base::instant now) const = 0;
+    // What may be done with endpoints of this failure domain.
+    [[nodiscard]] virtual fleet::evacuation_phase
+    evacuation(const base::failure_domain_id& domain,
+               base::instant now) const = 0;
 };
 
 // How a statement ended.
@@ -136,6 +141,11 @@
         m_peers = &peers;
     }
 
+    // False while the endpoint's failure domain is evacuated, or while the
+    // endpoint is cold and other hosts send to it.
+    [[nodiscard]] bool takes_work(const base::endpoint_id& endpoint,
+                                  base::instant now) const;
+
     // Runs the session's m_work; runner_events::work_finished follows, perhaps
     // from within the call.
     void submit(session& who, base::instant now);
@@ -197,6 +207,9 @@
     // at a holder.
     [[nodiscard]] std::size_t
     in_flight(const base::endpoint_id& endpoint) const;
+    // The same for all endpoints of a failure domain.
+    [[nodiscard]] std::size_t
+    in_flight_in(const base::failure_domain_id& domain) const;
     // True when the endpoint is listed, stays, and has answered after the
     // instant.
     [[nodiscard]] bool has_answered_since(const base::endpoint_id& endpoint,
@@ -256,6 +269,9 @@
 
     bool place(session& who, bool may_open, base::instant now);
     bool place_required(session& who, bool may_open, base::instant now);
+    void refuse(session& who, const group_state& group,
+                const placement_request& request, std::size_t candidates,
+                base::instant now);
     [[nodiscard]] static bool is_waiting(const session& who);
     [[nodiscard]] std::vector<rpc::session_number>
     waiting_in_order(const group_state& group) const;
@@ -272,6 +288,13 @@
                      std::optional<rpc::statement_error> error,
                      absl::Duration took, base::instant now);
     void forgive_pause(base::instant now);
+    [[nodiscard]] fleet::evacuation_phase
+    evacuation(const endpoint_state& endpoint, base::instant now) const;
+    [[nodiscard]] bool is_closed(const endpoint_state& endpoint,
+                                 base::instant now) const;
+    void close_evacuated(endpoint_state& endpoint, base::instant now);
+    [[nodiscard]] bool is_primary_closed(const group_state& group,
+                                         base::instant now) const;
     [[nodiscard]] placement_request requirements(const session& who,
                                                  const group_state& group,
                                                  base::instant now) const;
@@ -290,6 +313,9 @@
     void send_unsent(endpoint_state& endpoint, base::instant now);
     void use(session& who, endpoint_state& endpoint, base::instant now);
     bool forward(session& who, endpoint_state& endpoint, base::instant now);
+    [[nodiscard]] bool may_forward(const session& who,
+                                   const endpoint_state& endpoint,
+                                   base::instant now) const;
     [[nodiscard]] bool can_forward(const session& who,
                                    const endpoint_state& endpoint,
                                    base::instant now) const;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -55,7 +55,8 @@
                          {
                              return item.m_id == *leader;
                          });
-        own.m_leaving = entry == group.m_entries.end() || entry->m_leaving;
+        own.m_leaving = entry == group.m_entries.end() || entry->m_leaving ||
+                        m_evacuations.is_evacuated(entry->m_failure_domain);
         own.m_unreachable = m_runner->unreachable_for(*leader, now);
     }
     // What others see counts only for a host that has no answer itself.
@@ -79,18 +80,34 @@
     return handover::assess(own, others, m_options.m_assessment);
 }
 
+// True while this process holds the duty by the store's clock.
+bool fleet_service::holds_duty(base::instant now) const
+{
+    const auto latest = m_store_clock.latest(now);
+    return m_duty && latest && m_duty->m_holder == m_options.m_self &&
+           m_duty->m_incarnation == m_options.m_incarnation &&
+           *latest < m_duty->m_until;
+}
+
 // The live hosts take turns. While one of them holds the duty, the others
-// leave the start to it.
+// leave the start to it, so it does not wait for its turn: eight groups whose
+// primaries went at the same time were replaced one after the other.
 bool fleet_service::is_own_turn(const base::group_id& id,
                                 const group_leadership& group, need why,
                                 base::instant now) const
 {
     if (!group.m_needed_since || !m_store_reachable)
         return false;
-    if (why == need::planned &&
+    if (!has_place_to_go(group, now))
+        return false;
+    // An evacuated primary has to stop in any case.
+    const auto leader = primary(id, now);
+    if (why == need::planned && !(leader && is_evacuated(group, *leader)) &&
         now - *group.m_needed_since < m_options.m_planned_wait &&
         !can_all_release(now))
         return false;
+    if (holds_duty(now))
+        return true;
     const auto hosts = m_members.order(id.str(), now);
     const auto place = std::find(hosts.begin(), hosts.end(), m_options.m_self);
     const auto rank = place - hosts.begin();
@@ -110,6 +127,28 @@
     return true;
 }
 
+// Endpoints that may replace the primary; evacuated ones when there is no
+// other.
+std::vector<base::endpoint_id>
+fleet_service::promotion_candidates(const group_leadership& group,
+                                    const base::endpoint_id& primary,
+                                    base::instant now) const
+{
+    std::vector<base::endpoint_id> candidates;
+    std::vector<base::endpoint_id> evacuated;
+    for (const auto& entry : group.m_entries)
+    {
+        if (entry.m_leaving || entry.m_id == primary ||
+            m_runner->unreachable_for(entry.m_id, now) > absl::ZeroDuration())
+            continue;
+        if (m_evacuations.is_evacuated(entry.m_failure_domain))
+            evacuated.push_back(entry.m_id);
+        else
+            candidates.push_back(entry.m_id);
+    }
+    return candidates.empty() ? evacuated : candidates;
+}
+
 handover::promotion_inputs fleet_service::inputs(const base::group_id& id,
                                                  group_leadership& group,
                                                  need why, base::instant now)
@@ -131,14 +170,9 @@
                     : group.m_initial_primary.value_or(base::endpoint_id());
     given.m_released = is_released(id, group, now);
     given.m_primary_answers =
+        !is_evacuated(group, given.m_primary) &&
         m_runner->has_answered_since(given.m_primary, group.m_changed);
-    for (const auto& entry : group.m_entries)
-    {
-        if (entry.m_leaving || entry.m_id == given.m_primary)
-            continue;
-        if (m_runner->unreachable_for(entry.m_id, now) == absl::ZeroDuration())
-            given.m_candidates.push_back(entry.m_id);
-    }
+    given.m_candidates = promotion_candidates(group, given.m_primary, now);
     // The old primary itself, when it is back and nobody else is there.
     if (given.m_candidates.empty())
         for (const auto& entry : group.m_entries)
--- a/lib/entry/forwarding_service.cpp
+++ b/lib/entry/forwarding_service.cpp
@@ -200,6 +200,8 @@
         return "not_listed";
     if (endpoint->m_leaving)
         return "leaving";
+    if (!m_runner.takes_work(what.m_endpoint, m_clock.now()))
+        return "closed";
     if (endpoint->m_entry.m_started_unix_ms != what.m_endpoint_started_unix_ms)
         return "restarted";
     if (what.m_time_left <= absl::ZeroDuration())
--- a/lib/entry/runner_forwarding.cpp
+++ b/lib/entry/runner_forwarding.cpp
@@ -66,12 +66,22 @@
 
 } // namespace
 
-bool statement_runner::can_forward(const session& who,
+// Not when a holder may be outside the home regions, or has no part in the
+// requests to a cold endpoint.
+bool statement_runner::may_forward(const session& who,
                                    const endpoint_state& endpoint,
                                    base::instant now) const
 {
     return m_peers != nullptr && !who.m_required_endpoint &&
-           who.m_homes.empty() && fits_into_frame(who) &&
+           who.m_homes.empty() && !endpoint.m_cold.is_cold(now) &&
+           fits_into_frame(who);
+}
+
+bool statement_runner::can_forward(const session& who,
+                                   const endpoint_state& endpoint,
+                                   base::instant now) const
+{
+    return may_forward(who, endpoint, now) &&
            m_peers->choose(endpoint.m_entry.m_id, who.m_organisation,
                            who.m_work->m_refused_by, now);
 }
@@ -80,9 +90,7 @@
 bool statement_runner::forward(session& who, endpoint_state& endpoint,
                                base::instant now)
 {
-    // A holder may be outside the home regions.
-    if (m_peers == nullptr || who.m_required_endpoint || !who.m_homes.empty() ||
-        !fits_into_frame(who))
+    if (!may_forward(who, endpoint, now))
         return false;
     const base::endpoint_id& id = endpoint.m_entry.m_id;
     const auto holder =
@@ -440,12 +448,14 @@
         finish(who, statement_error::busy, "unreachable", now);
         return true;
     }
+    const bool has_room = endpoint->m_pace.has_room(endpoint->in_flight());
     const endpoint_pool& pool = endpoint->m_pool;
     const bool can_connect =
         may_open && pool.opening() < m_options.m_largest_opening &&
         (pool.can_open(now) || endpoint->m_pool.oldest_idle() != nullptr);
-    if (!can_connect &&
-        endpoint->m_pool.find_idle(who.m_organisation, who.m_values) == nullptr)
+    if (!has_room ||
+        (!can_connect && endpoint->m_pool.find_idle(who.m_organisation,
+                                                    who.m_values) == nullptr))
     {
         wait(who, now);
         return false;
