Test that a host without the store learns of evacuations from its peers

Cause: the test passed without the peers' news, because the host had other endpoints that it preferred.

Change: all domains are evacuated, so only the news keeps the host from the primary that it knows.

--- a/unittests/entry/evacuation_test.cpp
+++ b/unittests/entry/evacuation_test.cpp
@@ -446,7 +446,9 @@
     w.run(absl::Seconds(1));
     w.m_fleet.host(0).m_store.m_watch_silent = true;
     w.m_fleet.host(0).m_store.m_reachable = false;
-    w.evacuate("a");
+    // With something left elsewhere the host would go there in any case.
+    for (const char* domain : domains)
+        w.evacuate(domain);
     w.run(bound);
     w.expect_silence("a", absl::Seconds(10));
     w.m_fleet.host(0).m_store.m_watch_silent = false;
