Warm endpoints up when their failure domain is taken back

Cause: all hosts learn of the end of an evacuation at the same moment, and the endpoints have been idle; nothing paced what reached them.

Change: the end of an evacuation starts the same warm-up as a restart of the endpoint.

Ruled out: a pace of its own for evacuations; one mechanism serves both.

--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -146,6 +146,10 @@
     [[nodiscard]] bool takes_work(const base::endpoint_id& endpoint,
                                   base::instant now) const;
 
+    // The endpoints of the failure domain may get work again, at their pace.
+    void evacuation_ended(const base::failure_domain_id& domain,
+                          base::instant now);
+
     // Runs the session's m_work; runner_events::work_finished follows, perhaps
     // from within the call.
     void submit(session& who, base::instant now);
--- a/lib/entry/fleet_evacuation.cpp
+++ b/lib/entry/fleet_evacuation.cpp
@@ -103,6 +103,7 @@
                   {
                       if (m_evacuations.is_evacuated(item.first))
                           return false;
+                      m_runner->evacuation_ended(item.first, now);
                       m_links.m_metrics.counter("evacuations.ended").add();
                       m_log.info("evacuation_ended",
                                  {{"domain", item.first},
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -221,6 +221,15 @@
            !endpoint->m_cold.is_closed(now);
 }
 
+void statement_runner::evacuation_ended(const base::failure_domain_id& domain,
+                                        base::instant now)
+{
+    for (auto& [id, group] : m_groups)
+        for (auto& [endpoint_id, endpoint] : group.m_endpoints)
+            if (endpoint.m_entry.m_failure_domain == domain)
+                warm_up(endpoint, endpoint.m_entry, "evacuation_ended", now);
+}
+
 // Nothing more may reach an evacuated endpoint; what runs there ends as the
 // loss of its connection requires.
 void statement_runner::close_evacuated(endpoint_state& endpoint,
--- a/unittests/entry/evacuation_test.cpp
+++ b/unittests/entry/evacuation_test.cpp
@@ -544,3 +544,20 @@
     w.run(absl::Milliseconds(500));
     cr_assert_eq(promoted.size(), 8);
 }
+
+// Guards against a herd of hosts at endpoints that were idle: all hosts learn
+// of the end at the same moment.
+Test(evacuation, endpoints_of_a_domain_that_is_taken_back_are_warmed_up)
+{
+    world w;
+    w.evacuate("b");
+    w.run(bound);
+    w.take_back("b");
+    w.run(absl::Milliseconds(100));
+    auto* endpoint = w.m_fleet.host(0).m_host.runner().find_endpoint(
+        base::endpoint_id("g-b"));
+    cr_assert(endpoint != nullptr && endpoint->m_pace.is_warming_up());
+    const auto* other = w.m_fleet.host(0).m_host.runner().find_endpoint(
+        base::endpoint_id("g-c"));
+    cr_assert_not(other->m_pace.is_warming_up());
+}
