Name and explain the new parts for readers who come new

Cause: a reader who had not seen the requirements stumbled over names that mean other things elsewhere (hand_over beside handover, taken back for a cancelled evacuation), constants without a reason and comments that contradict the code.

Ruled out: one shared constant for the pauses and silence limits of the host, the runner and the streams; it needs a library below all three and is left for later, as is the file of the TCP listener in the datagram folder.

--- a/include/magnoliastack/admission/cold_gate.hpp
+++ b/include/magnoliastack/admission/cold_gate.hpp
@@ -9,7 +9,8 @@
 namespace magnoliastack::admission
 {
 
-// Hosts that send to one cold endpoint.
+// At most so many hosts send to a cold endpoint: the bursts of one of each stay
+// within the excess that is allowed.
 inline constexpr std::size_t largest_cold_senders = 4;
 
 // A host's part in the requests to one cold endpoint.
@@ -48,12 +49,12 @@
 public:
     cold_gate();
 
-    // The endpoint said that it stays slow for so long.
-    void declared(absl::Duration left, base::instant now);
+    // The endpoint is cold for `left` from now on.
+    void set_cold_for(absl::Duration left, base::instant now);
     void set_share(const cold_share& share, base::instant now);
 
     [[nodiscard]] bool is_cold(base::instant now) const;
-    // True while another host has to send new work.
+    // True while this host may not start new work at the endpoint.
     [[nodiscard]] bool is_closed(base::instant now) const;
     // True when a request may be sent now; always while it is not cold.
     [[nodiscard]] bool has_token(base::instant now) const;
--- a/include/magnoliastack/admission/concurrency_limit.hpp
+++ b/include/magnoliastack/admission/concurrency_limit.hpp
@@ -27,12 +27,13 @@
     // Factor for a refusal, or for answers that are too slow, while the
     // endpoint warms up.
     double m_warm_up_decrease = 0.7;
-    // Answers are too slow above this multiple of the best. Statements of
-    // several kinds differ, so their average is compared.
+    // Answers are too slow above this multiple of the lowest average answer
+    // time. Statements of several kinds differ, so averages are compared.
     double m_slow_factor = 2;
+    // Weight of the newest answer in the moving average.
     double m_answer_weight = 0.25;
-    // The best grows by this with each answer, so that an endpoint that stays
-    // slower than before is measured by what it does now.
+    // The lowest average grows by this factor with each answer, so that an
+    // endpoint that stays slower than before is measured by what it does now.
     double m_best_growth = 1.01;
 };
 
@@ -53,7 +54,7 @@
     // with each answer time until it has reached `target`, while the endpoint
     // answers well.
     void warm_up(std::uint32_t target, base::instant now);
-    // True until the target is reached; the limit holds only as long.
+    // True until the target is reached; the limit is enforced only until then.
     [[nodiscard]] bool is_warming_up() const
     {
         return m_target > 0;
--- a/include/magnoliastack/catalogue/configuration.hpp
+++ b/include/magnoliastack/catalogue/configuration.hpp
@@ -39,7 +39,8 @@
     std::uint32_t m_priority = 0;
     // Callers need no key.
     bool m_open = false;
-    // Within this an operation should end; zero when none is declared.
+    // Within this an operation should end; zero when none is declared. Not used
+    // for scheduling yet.
     absl::Duration m_objective;
     // Only endpoints in these regions serve it; empty for all.
     std::set<base::region_id> m_home_regions;
@@ -54,7 +55,7 @@
     double m_burst = 0;
     // False when it has no limit; rate and burst mean nothing then.
     bool m_limited = true;
-    // 0 goes first.
+    // 0 goes first. Not used for scheduling yet.
     std::uint32_t m_priority = 0;
     // Only endpoints in these regions serve it; empty for all.
     std::set<base::region_id> m_home_regions;
--- a/include/magnoliastack/entry/connection.hpp
+++ b/include/magnoliastack/entry/connection.hpp
@@ -55,7 +55,8 @@
     absl::flat_hash_set<std::string> m_prepared;
     // Requests without their `ready` yet, oldest first.
     std::deque<pending_answer> m_awaited;
-    // The last of these that have not been sent, since the endpoint is cold.
+    // Number of requests at the end of m_awaited that were not sent yet, since
+    // the endpoint is cold.
     std::size_t m_unsent = 0;
     // Set by a failure, until the `ready` that ends the answer.
     std::optional<rpc::statement_error> m_failure;
--- a/include/magnoliastack/entry/connection_holders.hpp
+++ b/include/magnoliastack/entry/connection_holders.hpp
@@ -26,18 +26,20 @@
     // Part of an endpoint's connections that are kept without forwarding.
     double m_kept_part = 0.6;
     // Forwarding begins below so many kept connections an endpoint and host,
-    // and ends above the second number.
+    // and ends above the second number; the gap keeps it from going on and off.
     double m_on_below = 2;
     double m_off_above = 3;
-    // Holders of an endpoint, and the part of its connections of each one.
+    // Holders of an endpoint, so that the loss of one leaves the other, and the
+    // part of its connections of each one. The rest is for direct connections.
     std::size_t m_holders = 2;
     double m_holder_part = 0.45;
     // The members are looked at this often; a lost stream is noticed earlier.
     absl::Duration m_refresh_interval = absl::Milliseconds(250);
 };
 
-// Each endpoint has two holders: the first live hosts of its failure domain in
-// rendezvous order. Hosts come to the same holders without asking each other.
+// Each endpoint has two holders: the first live hosts of its failure domain, or
+// of any when its own has none, in rendezvous order. Hosts that know the same
+// members compute the same holders without communication.
 class connection_holders
 {
 public:
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -320,8 +320,9 @@
                                    base::instant now) const;
     [[nodiscard]] bool is_evacuated(const group_leadership& group,
                                     const base::endpoint_id& endpoint) const;
-    [[nodiscard]] bool has_place_to_go(const group_leadership& group,
-                                       base::instant now) const;
+    // False when only evacuated endpoints could lead the group.
+    [[nodiscard]] bool has_replacement_candidate(const group_leadership& group,
+                                                 base::instant now) const;
     void evacuations_changed(const char* source, base::instant now);
     void follow_evacuations(base::instant now);
     void stop_moving(const base::group_id& id, group_leadership& group,
--- a/include/magnoliastack/entry/forwarding_peers.hpp
+++ b/include/magnoliastack/entry/forwarding_peers.hpp
@@ -19,7 +19,7 @@
 namespace magnoliastack::entry
 {
 
-// How long a holder that failed is left alone.
+// How long a holder that failed is not used.
 struct peer_options
 {
     // Its stream was lost.
@@ -36,7 +36,8 @@
     std::string m_address;
 };
 
-// Chooses a usable holder and counts what it owes answers to.
+// Chooses a usable holder and counts the statements that await an answer from
+// each.
 class forwarding_peers
 {
 public:
--- a/include/magnoliastack/entry/forwarding_service.hpp
+++ b/include/magnoliastack/entry/forwarding_service.hpp
@@ -31,9 +31,11 @@
     // The sender's limit of a statement comes first; this much later the
     // connection is closed if the sender's word is lost.
     absl::Duration m_deadline_margin = absl::Milliseconds(100);
-    // Statements and transactions of other hosts at the same time.
+    // Statements and transactions of other hosts at the same time; it bounds
+    // the memory that they take.
     std::size_t m_largest_served = 4000;
-    // Rows of an answer, in bytes; a frame between hosts takes no more.
+    // Bytes of an answer's rows; the rest of a frame is for what comes with
+    // them.
     std::size_t m_largest_answer = 1 << 20;
 };
 
--- a/include/magnoliastack/entry/home_regions.hpp
+++ b/include/magnoliastack/entry/home_regions.hpp
@@ -39,7 +39,8 @@
 
     // True when the statement may be forwarded to a host of the failure
     // domain: in a home region, or in the region of this host, which accepted
-    // the session.
+    // the session. Not used yet: statements with home regions are not
+    // forwarded.
     [[nodiscard]] bool may_forward(const base::failure_domain_id& domain,
                                    const home_regions& homes) const;
 
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -28,7 +28,7 @@
     // Open transactions are ended.
     absl::Duration m_abort;
     // Statements that still run are given up and answered.
-    absl::Duration m_give_up;
+    absl::Duration m_cancel;
     // The process ends, whatever is left.
     absl::Duration m_end;
 };
@@ -200,9 +200,9 @@
     std::optional<base::instant> m_isolated_since;
     std::optional<base::instant> m_draining_since;
     // Steps of the planned stop that were taken.
-    bool m_handing_over = false;
+    bool m_closing_sessions = false;
     bool m_aborting = false;
-    bool m_giving_up = false;
+    bool m_cancelling = false;
     bool m_drained = false;
     base::instant m_next_division;
     admission::cold_division m_cold;
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -76,12 +76,12 @@
     void close_idle(base::instant started_until, base::instant now);
     // Planned stop: from now on no operation begins, and each session is closed
     // when it is between operations.
-    void hand_over(base::instant now);
+    void close_between_operations(base::instant now);
     // Planned stop: ends open transactions as well, each after its running
     // statement.
     void abort_transactions(base::instant now);
     // Planned stop: the time of all running statements is over.
-    void give_up(base::instant now);
+    void cancel_running(base::instant now);
     // Sessions that wait for an answer.
     [[nodiscard]] std::size_t working_count() const;
     [[nodiscard]] std::size_t session_count() const
@@ -154,8 +154,9 @@
     void answer(session& who, std::optional<rpc::statement_error> error,
                 std::string_view text);
     void end(rpc::session_number number, base::instant now);
-    void hand_over(rpc::session_number number, base::instant now);
-    [[nodiscard]] bool may_hand_over(const session& who) const;
+    void close_between_operations(rpc::session_number number,
+                                  base::instant now);
+    [[nodiscard]] bool may_close(const session& who) const;
     void end_transaction(session& who, base::instant now);
 
     session_options m_options;
@@ -172,7 +173,7 @@
     token_source* m_token_source = nullptr;
     base::instant m_next_refresh;
     // Steps of a planned stop.
-    bool m_handing_over = false;
+    bool m_closing_sessions = false;
     bool m_aborting = false;
     std::map<base::organisation_id, std::deque<token_waiter>> m_token_waiters;
 };
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -60,8 +60,9 @@
     // A holder has half of the time in which a statement may wait, so that the
     // next one has time as well, and never less than this.
     absl::Duration m_least_start = absl::Milliseconds(50);
-    // A stream is lost within this when its host is silent. A forwarded
-    // statement that has taken longer without an answer is the endpoint's.
+    // A stream is lost within this when its host is silent. After this time an
+    // unanswered forwarded statement is attributed to the endpoint and not to
+    // the holder.
     absl::Duration m_holder_silence = absl::Milliseconds(500);
 };
 
@@ -160,8 +161,8 @@
     // The session ends; what it has running is left to itself.
     void forget(session& who, base::instant now);
 
-    // Takes a session's statement back that has no open connection yet; the
-    // session is forgotten then. False when it has one.
+    // Cancels the session's statement if it has no open connection yet; the
+    // session is forgotten then. False otherwise.
     bool withdraw(session& who, base::instant now);
 
     // Deadlines, silence and what waits. Call it every 50 ms or less.
--- a/include/magnoliastack/fleet/evacuations.hpp
+++ b/include/magnoliastack/fleet/evacuations.hpp
@@ -56,7 +56,7 @@
     // Nothing may reach the domain this long after the acknowledgement.
     absl::Duration m_bound = absl::Seconds(5);
     // Part of the bound after which connections are closed. The rest is for
-    // the way of the news and for what the network still holds.
+    // the propagation between hosts and for packets in flight.
     double m_closing_part = 0.6;
 };
 
@@ -64,7 +64,7 @@
 enum class evacuation_phase
 {
     none,
-    // No new work but that which only the primary there can run.
+    // Only work that requires the primary there is accepted.
     leaving,
     // Nothing at all.
     closed,
@@ -82,7 +82,7 @@
     // The store has come back in this era; `at` is a time in it.
     bool era_changed(rpc::store_era era, rpc::store_instant at);
     // A peer's set.
-    bool told(const evacuation_set& set, rpc::store_instant at);
+    bool merge_peer_set(const evacuation_set& set, rpc::store_instant at);
     // Drops what was kept for long enough; `at` is not after the store's time.
     bool expire(rpc::store_instant at);
 
@@ -112,7 +112,7 @@
     rpc::store_instant m_kept_until;
     // Versions of rows that were there when this host read the table first.
     // It cannot know for how long, so their domains are closed at once.
-    std::map<base::failure_domain_id, rpc::row_version> m_found;
+    std::map<base::failure_domain_id, rpc::row_version> m_found_at_start;
 };
 
 } // namespace magnoliastack::fleet
--- a/include/magnoliastack/rpc/forwarding_link.hpp
+++ b/include/magnoliastack/rpc/forwarding_link.hpp
@@ -50,7 +50,8 @@
     bool m_prepared_writes = false;
     std::map<std::string, std::string> m_values;
     std::optional<base::log_point> m_after;
-    // Priorities of the route and of the organisation; 0 goes first.
+    // Priorities of the route and of the organisation; 0 goes first. The
+    // organisation's is not set yet.
     std::uint32_t m_route_priority = 0;
     std::uint32_t m_organisation_priority = 0;
     // Time that is left for the statement when it is sent, and the time within
@@ -123,7 +124,8 @@
         stream_lost(host, false);
     }
     // The stream to the host was closed because it had not been used for long;
-    // open transactions on it are lost, and the host is not at fault.
+    // open transactions on it are lost. By default treated like `stream_lost`:
+    // with open transactions the host is not used for a short time.
     virtual void idle_stream_closed(const base::host_id& host)
     {
         stream_lost(host, false);
--- a/include/magnoliastack/rpc/session_link.hpp
+++ b/include/magnoliastack/rpc/session_link.hpp
@@ -31,7 +31,7 @@
     virtual void close(session_number session) = 0;
     // Closes a session that is between operations. Statements that have arrived
     // and were not read are refused as busy: they have not run.
-    virtual void hand_over(session_number session) = 0;
+    virtual void close_between_operations(session_number session) = 0;
     // True while the output of a closed session is not sent completely.
     [[nodiscard]] virtual bool has_output() const = 0;
 };
--- a/lib/admission/cold_gate.cpp
+++ b/lib/admission/cold_gate.cpp
@@ -38,7 +38,7 @@
 
 cold_gate::cold_gate() = default;
 
-void cold_gate::declared(absl::Duration left, base::instant now)
+void cold_gate::set_cold_for(absl::Duration left, base::instant now)
 {
     m_until = now + left;
 }
--- a/lib/entry/fleet_evacuation.cpp
+++ b/lib/entry/fleet_evacuation.cpp
@@ -55,8 +55,8 @@
 
 // False when nothing but evacuated endpoints could lead the group: a
 // replacement would stop the primary and put nobody in its place.
-bool fleet_service::has_place_to_go(const group_leadership& group,
-                                    base::instant now) const
+bool fleet_service::has_replacement_candidate(const group_leadership& group,
+                                              base::instant now) const
 {
     if (!m_evacuations.is_any())
         return true;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -98,7 +98,7 @@
 {
     if (!group.m_needed_since || !m_store_reachable)
         return false;
-    if (!has_place_to_go(group, now))
+    if (!has_replacement_candidate(group, now))
         return false;
     // An evacuated primary has to stop in any case.
     const auto leader = primary(id, now);
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -264,7 +264,7 @@
         m_newest_configuration_at = now;
     }
     ask_configuration(taken, now);
-    if (m_evacuations.told(
+    if (m_evacuations.merge_peer_set(
             taken.m_evacuations,
             m_store_clock.latest(now).value_or(rpc::store_instant())))
         evacuations_changed(host.str().c_str(), now);
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -15,7 +15,7 @@
 // themselves. Between the last two parts the refusals of what still runs are
 // written; a tenth is kept for a slow machine.
 constexpr double abort_part = 0.5;
-constexpr double give_up_part = 0.85;
+constexpr double cancel_part = 0.85;
 constexpr double end_part = 0.9;
 constexpr absl::Duration balancer_time = absl::Milliseconds(2200);
 
@@ -31,7 +31,7 @@
 drain_plan drain_times(absl::Duration limit)
 {
     const absl::Duration abort = limit * abort_part;
-    return {std::min(balancer_time, abort), abort, limit * give_up_part,
+    return {std::min(balancer_time, abort), abort, limit * cancel_part,
             limit * end_part};
 }
 
@@ -92,21 +92,22 @@
         return;
     const drain_plan& plan = m_options.m_drain;
     const auto draining = now - *m_draining_since;
-    if (draining >= plan.m_close_idle && !std::exchange(m_handing_over, true))
+    if (draining >= plan.m_close_idle &&
+        !std::exchange(m_closing_sessions, true))
     {
-        log_drain("drain_handing_over", now);
-        m_service.hand_over(now);
+        log_drain("drain_closing_sessions", now);
+        m_service.close_between_operations(now);
     }
     if (draining >= plan.m_abort && !std::exchange(m_aborting, true))
     {
         log_drain("drain_ending_transactions", now);
         m_service.abort_transactions(now);
     }
-    if (draining >= plan.m_give_up && !std::exchange(m_giving_up, true) &&
+    if (draining >= plan.m_cancel && !std::exchange(m_cancelling, true) &&
         m_service.session_count() > 0)
     {
-        log_drain("drain_giving_up", now);
-        m_service.give_up(now);
+        log_drain("drain_cancelling_statements", now);
+        m_service.cancel_running(now);
     }
 }
 
@@ -114,7 +115,7 @@
 // leaves only after the last one.
 void host::check_drained(base::instant now)
 {
-    if (!m_handing_over || m_drained)
+    if (!m_closing_sessions || m_drained)
         return;
     if (work_count() == 0)
     {
--- a/lib/entry/runner_forwarding.cpp
+++ b/lib/entry/runner_forwarding.cpp
@@ -386,7 +386,8 @@
     for (const auto& [number, at] : m_forwarded)
         if (at.m_holder.m_host == host)
             lost.emplace_back(number, at);
-    // A stream that was closed because nobody used it says nothing.
+    // No forwarded work is affected, so the loss is no evidence of a failed
+    // holder.
     if (lost.empty())
         return;
     m_peers->lost(host, refused, now);
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -117,7 +117,7 @@
     const bool restarted =
         endpoint.m_entry.m_started_unix_ms != entry.m_started_unix_ms;
     if (added || restarted || endpoint.m_entry.m_cold_left != entry.m_cold_left)
-        endpoint.m_cold.declared(entry.m_cold_left, now);
+        endpoint.m_cold.set_cold_for(entry.m_cold_left, now);
     const auto share = m_cold_shares.find(entry.m_id);
     endpoint.m_cold.set_share(
         share == m_cold_shares.end() ? admission::cold_share() : share->second,
@@ -498,7 +498,7 @@
     endpoint_state* endpoint = find_endpoint(id);
     if (endpoint == nullptr || is_closed(*endpoint, now))
         return;
-    // Who asks asks again; requests that pile up would be sent late.
+    // The caller repeats the request; requests that pile up would be sent late.
     if (!endpoint->m_unsent.empty() || !endpoint->m_cold.has_token(now))
     {
         m_metrics.counter("cold.control_dropped").add();
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -61,7 +61,7 @@
     auto checked = identify(*who);
     if (!checked.m_error && m_sessions.size() >= m_options.m_largest_sessions)
         checked = {statement_error::busy, "too many sessions", true};
-    if (!checked.m_error && m_handing_over)
+    if (!checked.m_error && m_closing_sessions)
         checked = {statement_error::busy, std::string(host_stops_text), true};
     if (checked.m_error)
     {
@@ -132,8 +132,8 @@
             end_transaction(present, now);
         if (present.m_inbox.empty())
         {
-            if (may_hand_over(present))
-                hand_over(number, now);
+            if (may_close(present))
+                close_between_operations(number, now);
             return;
         }
         auto what = std::move(present.m_inbox.front());
@@ -201,9 +201,10 @@
         return;
     }
     const auto checked =
-        m_handing_over ? admission_result{statement_error::busy,
-                                          std::string(host_stops_text), false}
-                       : identify(who);
+        m_closing_sessions
+            ? admission_result{statement_error::busy,
+                               std::string(host_stops_text), false}
+            : identify(who);
     if (checked.m_error)
     {
         refuse(who, what, checked);
@@ -446,30 +447,31 @@
             !who->m_awaits_token && who->m_started <= started_until)
             idle.push_back(number);
     for (const auto number : idle)
-        hand_over(number, now);
+        close_between_operations(number, now);
 }
 
-void session_service::hand_over(base::instant now)
+void session_service::close_between_operations(base::instant now)
 {
-    m_handing_over = true;
+    m_closing_sessions = true;
     close_idle(now, now);
 }
 
-void session_service::hand_over(rpc::session_number number, base::instant now)
+void session_service::close_between_operations(rpc::session_number number,
+                                               base::instant now)
 {
     const auto found = m_sessions.find(number);
     if (found == m_sessions.end())
         return;
-    m_metrics.counter("sessions.handed_over").add();
+    m_metrics.counter("sessions.closed_between_operations").add();
     m_runner->forget(*found->second, now);
     m_sessions.erase(found);
-    m_link.hand_over(number);
+    m_link.close_between_operations(number);
 }
 
 // True when nothing of the session is left to be answered.
-bool session_service::may_hand_over(const session& who) const
+bool session_service::may_close(const session& who) const
 {
-    return m_handing_over && !who.m_work && !who.m_awaits_token &&
+    return m_closing_sessions && !who.m_work && !who.m_awaits_token &&
            who.m_inbox.empty() &&
            (m_aborting || who.m_state == transaction_state::idle);
 }
@@ -506,11 +508,11 @@
         open.push_back(number);
     }
     for (const auto number : open)
-        hand_over(number, now);
+        close_between_operations(number, now);
 }
 
 // The runner answers statements whose time is over in its next tick.
-void session_service::give_up(base::instant now)
+void session_service::cancel_running(base::instant now)
 {
     for (auto& [number, who] : m_sessions)
         if (who->m_work)
--- a/lib/fleet/evacuations.cpp
+++ b/lib/fleet/evacuations.cpp
@@ -62,11 +62,11 @@
                   });
     for (auto& [domain, item] : m_set.m_domains)
     {
-        if (const auto found = m_found.find(domain);
-            found != m_found.end() && found->second == item.m_version)
+        if (const auto found = m_found_at_start.find(domain);
+            found != m_found_at_start.end() && found->second == item.m_version)
             found->second = {};
         else
-            m_found.erase(domain);
+            m_found_at_start.erase(domain);
         item.m_state = evacuation_state::kept;
         item.m_version = {};
     }
@@ -110,13 +110,14 @@
             merged({evacuation_state::ordered, row.m_version, rows.m_at},
                    m_set.m_domains, row.m_domain);
         if (first)
-            m_found[row.m_domain] = row.m_version;
+            m_found_at_start[row.m_domain] = row.m_version;
     }
     m_set.m_version = rows.m_version;
     return replace(std::move(domains));
 }
 
-bool evacuations::told(const evacuation_set& set, rpc::store_instant at)
+bool evacuations::merge_peer_set(const evacuation_set& set,
+                                 rpc::store_instant at)
 {
     if (set.m_version.value() == 0 || set.m_era < m_set.m_era)
         return false;
@@ -172,7 +173,7 @@
     if (domains == m_set.m_domains)
         return false;
     // A kept evacuation whose row is there again goes on as it was.
-    for (auto& [domain, version] : m_found)
+    for (auto& [domain, version] : m_found_at_start)
     {
         const auto before = m_set.m_domains.find(domain);
         const auto after = domains.find(domain);
@@ -209,9 +210,9 @@
     if (!is_evacuated(domain))
         return evacuation_phase::none;
     const evacuation& item = m_set.m_domains.at(domain);
-    const auto found = m_found.find(domain);
+    const auto found = m_found_at_start.find(domain);
     const bool was_there =
-        found != m_found.end() && found->second == item.m_version;
+        found != m_found_at_start.end() && found->second == item.m_version;
     const bool over =
         !latest || *latest >= later(item.m_since, m_options.m_bound *
                                                       m_options.m_closing_part);
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -347,8 +347,9 @@
         {{{fleet::duty_key, inputs.m_duty_version},
           {fleet::leadership_key(m_group), inputs.m_leadership_version}},
          {{fleet::leadership_key(m_group), fleet::encode(row)}}}};
-    // A holder's claims for several groups at once would expect each other's
-    // version of the duty's row if each wrote it, and all but one would fail.
+    // The duty owner's claims for several groups at once would expect each
+    // other's version of the duty's row if each wrote it, and all but one would
+    // fail.
     if (!holds_duty(inputs, m_options.m_tenure / 2))
         claim.m_change.m_writes.emplace_back(fleet::duty_key,
                                              fleet::encode(next_duty(inputs)));
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -61,6 +61,7 @@
   primary @6 :Bool;
   # Start of its process, in milliseconds since the Unix epoch.
   startedUnixMs @7 :Int64;
+  # Remaining slow period after the start, as of the entry's last change.
   coldLeftMs @8 :UInt32;
 }
 
--- a/test/entry_process_test.cpp
+++ b/test/entry_process_test.cpp
@@ -375,7 +375,7 @@
     ask_until_done(caller, "QUERY 1 READ x");
     cr_assert(ask(caller, "QUERY 2 BEGIN").ends_with("READY T -|"));
     host.signal(SIGTERM);
-    cr_assert(log_has(f.m_log, "event=drain_handing_over"));
+    cr_assert(log_has(f.m_log, "event=drain_closing_sessions"));
     caller << "QUERY 3 ROLLBACK\r\nQUERY 4 READ x\r\nQUERY 5 READ x\r\n"
            << std::flush;
     std::string all;
--- a/test/soak/checker.cpp
+++ b/test/soak/checker.cpp
@@ -29,7 +29,7 @@
     m_silent_from[domain] = clock::now() + evacuation_bound;
 }
 
-void checker::taken_back(const std::string& domain)
+void checker::evacuation_cancelled(const std::string& domain)
 {
     m_silent_from.erase(domain);
 }
--- a/test/soak/checker.hpp
+++ b/test/soak/checker.hpp
@@ -71,7 +71,7 @@
 
     // The store has acknowledged an evacuation, or its end.
     void evacuated(const std::string& domain);
-    void taken_back(const std::string& domain);
+    void evacuation_cancelled(const std::string& domain);
     // The store or the hosts' ways to it are in trouble, or a host stands
     // still: bounds of evacuations start anew.
     void store_disturbed();
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -68,15 +68,15 @@
         item.m_undo();
     if (!m_evacuated.empty())
     {
-        m_world.m_judge.taken_back(m_evacuated);
-        m_world.m_store->take_back(m_evacuated);
+        m_world.m_judge.evacuation_cancelled(m_evacuated);
+        m_world.m_store->cancel_evacuation(m_evacuated);
         m_evacuated.clear();
     }
     m_world.disturbed();
 }
 
-// At random moments the operator evacuates a domain and takes it back. After
-// every second evacuation the store is left in peace for the bound.
+// At random moments the operator evacuates a domain and cancels the evacuation.
+// After every second evacuation the store is left in peace for the bound.
 void fault_plan::change_evacuation()
 {
     const auto now = clock::now();
@@ -85,9 +85,9 @@
     m_next_evacuation = now + std::chrono::milliseconds(1000 + draw(14'000));
     if (!m_evacuated.empty())
     {
-        std::printf("evacuation of %s taken back\n", m_evacuated.c_str());
-        m_world.m_judge.taken_back(m_evacuated);
-        m_world.m_store->take_back(m_evacuated);
+        std::printf("evacuation of %s cancelled\n", m_evacuated.c_str());
+        m_world.m_judge.evacuation_cancelled(m_evacuated);
+        m_world.m_store->cancel_evacuation(m_evacuated);
         m_evacuated.clear();
         return;
     }
--- a/test/soak/store.cpp
+++ b/test/soak/store.cpp
@@ -391,7 +391,7 @@
     put("op", absl::StrCat("evacuate/", domain), "{}");
 }
 
-void store::take_back(const std::string& domain)
+void store::cancel_evacuation(const std::string& domain)
 {
     m_evacuated[domain] = false;
     remove("op", absl::StrCat("evacuate/", domain));
@@ -404,7 +404,7 @@
         if (evacuated)
             evacuate(domain);
         else
-            take_back(domain);
+            cancel_evacuation(domain);
 }
 
 void store::keep_copy()
--- a/test/soak/store.hpp
+++ b/test/soak/store.hpp
@@ -48,9 +48,9 @@
 
     // The operator writes a configuration; the version rises by itself.
     void configure(nlohmann::json configuration);
-    // The operator evacuates a failure domain, and takes it back.
+    // The operator evacuates a failure domain, and cancels the evacuation.
     void evacuate(const std::string& domain);
-    void take_back(const std::string& domain);
+    void cancel_evacuation(const std::string& domain);
     // An endpoint's entry; none when it has left or is silent.
     void set_entry(const endpoint& what, const std::string& group,
                    std::uint64_t sequence);
--- a/unittests/entry/evacuation_test.cpp
+++ b/unittests/entry/evacuation_test.cpp
@@ -59,7 +59,7 @@
     {
         m_fleet.m_platform.evacuate(domain);
     }
-    void take_back(const std::string& domain)
+    void cancel_evacuation(const std::string& domain)
     {
         m_fleet.m_platform.evacuate(domain, true);
     }
@@ -320,7 +320,7 @@
     w.expect_silence("a", absl::Seconds(20));
     w.set_store_reachable(true);
     w.expect_silence("a", absl::Seconds(10));
-    w.take_back("a");
+    w.cancel_evacuation("a");
     w.run(absl::Seconds(5));
     cr_assert_neq(domain_of(w.primary()), "a", "the primary stays");
     w.expect_use("a");
@@ -371,7 +371,7 @@
         w.expect_silence(domain, absl::Seconds(3));
     cr_assert_eq(w.write(0), "the primary's failure domain is evacuated");
     for (const char* domain : domains)
-        w.take_back(domain);
+        w.cancel_evacuation(domain);
     w.run(absl::Seconds(3));
     cr_assert_eq(w.write(0), "done");
     cr_assert(w.m_fleet.m_platform.m_promoted.empty());
@@ -465,7 +465,7 @@
     w.evacuate("a");
     w.run(bound);
     w.expect_silence("a", absl::Seconds(10));
-    w.take_back("a");
+    w.cancel_evacuation("a");
     w.run(absl::Seconds(1));
     w.expect_use("a");
 }
@@ -479,14 +479,14 @@
         world w;
         w.evacuate("a");
         w.run(apart);
-        w.take_back("a");
+        w.cancel_evacuation("a");
         w.run(apart);
         w.evacuate("a");
         w.run(bound);
         w.expect_silence("a", absl::Seconds(3));
         w.evacuate("b");
         w.run(apart);
-        w.take_back("b");
+        w.cancel_evacuation("b");
         const auto before = w.reached("b");
         w.run(absl::Seconds(5));
         cr_assert_gt(w.reached("b"), before);
@@ -545,14 +545,14 @@
     cr_assert_eq(promoted.size(), 8);
 }
 
-// Guards against a herd of hosts at endpoints that were idle: all hosts learn
-// of the end at the same moment.
-Test(evacuation, endpoints_of_a_domain_that_is_taken_back_are_warmed_up)
+// Guards against a load of all hosts at once on endpoints that were idle: all
+// hosts learn of the end at the same moment.
+Test(evacuation, endpoints_are_warmed_up_after_a_cancelled_evacuation)
 {
     world w;
     w.evacuate("b");
     w.run(bound);
-    w.take_back("b");
+    w.cancel_evacuation("b");
     w.run(absl::Milliseconds(100));
     auto* endpoint = w.m_fleet.host(0).m_host.runner().find_endpoint(
         base::endpoint_id("g-b"));
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -72,7 +72,7 @@
     {
         m_closed.insert(session.value());
     }
-    void hand_over(rpc::session_number session) override
+    void close_between_operations(rpc::session_number session) override
     {
         close(session);
     }
@@ -153,7 +153,7 @@
         m_configuration_version = rpc::row_version(++m_version);
     }
 
-    // The operator evacuates a failure domain, or takes it back.
+    // The operator evacuates a failure domain, or cancels the evacuation.
     void evacuate(const std::string& domain, bool removed = false)
     {
         m_evacuations_version = rpc::row_version(++m_version);
--- a/unittests/fleet/evacuations_test.cpp
+++ b/unittests/fleet/evacuations_test.cpp
@@ -112,14 +112,14 @@
     auto told = started();
     told.rows_read(reading(false, 1, 12, 2000, {row(one, 12)}));
     auto known = started();
-    cr_assert(known.told(told.set(), at(2050)));
-    cr_assert_not(known.told(told.set(), at(2060)));
+    cr_assert(known.merge_peer_set(told.set(), at(2050)));
+    cr_assert_not(known.merge_peer_set(told.set(), at(2060)));
     cr_assert_not(known.rows_read(reading(true, 1, 11, 2070)));
     cr_assert(known.is_evacuated(one));
-    cr_assert_not(known.told(started().set(), at(2080)));
+    cr_assert_not(known.merge_peer_set(started().set(), at(2080)));
     cr_assert(known.is_evacuated(one));
     told.rows_read(reading(false, 1, 14, 3000, {row(one, 14, true)}));
-    cr_assert(known.told(told.set(), at(3050)));
+    cr_assert(known.merge_peer_set(told.set(), at(3050)));
     cr_assert_not(known.is_evacuated(one));
 }
 
@@ -132,7 +132,7 @@
     auto late = started();
     late.rows_read(reading(false, 1, 12, 4500, {row(one, 12)}));
     cr_assert(late.phase(one, at(5100)) == evacuation_phase::leaving);
-    cr_assert(late.told(early.set(), at(4600)));
+    cr_assert(late.merge_peer_set(early.set(), at(4600)));
     cr_assert(late.phase(one, at(5100)) == evacuation_phase::closed);
 }
 
@@ -183,9 +183,9 @@
     cr_assert(
         known.rows_read(reading(false, 2, 8, 21000, {row(one, 8, true)})));
     cr_assert_not(known.is_evacuated(one));
-    known.told(other.set(), at(21050));
+    known.merge_peer_set(other.set(), at(21050));
     cr_assert_not(known.is_evacuated(one));
-    cr_assert(other.told(known.set(), at(21060)));
+    cr_assert(other.merge_peer_set(known.set(), at(21060)));
     cr_assert_not(other.is_evacuated(one));
 }
 
@@ -198,7 +198,7 @@
     evacuations starting;
     starting.era_changed(rpc::store_era(2), at(20500));
     starting.rows_read(reading(true, 2, 6, 20500));
-    cr_assert(starting.told(known.set(), at(20600)));
+    cr_assert(starting.merge_peer_set(known.set(), at(20600)));
     cr_assert(starting.phase(one, at(20600)) == evacuation_phase::closed);
 }
 
@@ -220,7 +220,7 @@
     auto known = started(2);
     known.rows_read(reading(false, 2, 12, 2000, {row(one, 12)}));
     cr_assert_not(known.rows_read(reading(true, 1, 99, 3000)));
-    cr_assert_not(known.told(started(1, 99).set(), at(3000)));
+    cr_assert_not(known.merge_peer_set(started(1, 99).set(), at(3000)));
     cr_assert(known.is_evacuated(one));
 }
 
