Let the soak disturb the streams between hosts

Cause: the soak relays datagrams between hosts at another port than the one at which they listen, so streams to that address were refused and no statement was forwarded, however many hosts ran.

Change: a TCP relay at the same port number carries the streams, and faults on all ways of a host hit it too.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -189,6 +189,8 @@
         ways.push_back(item.get());
     if (draw(2) == 0)
         ways = {ways[draw(ways.size())]};
+    else
+        ways.push_back(host.m_streams_from_peers.get());
     name = absl::StrCat(host.m_name, " ", ways.size(), " ways");
     link_state state;
     switch (kind)
--- a/test/soak/relay.cpp
+++ b/test/soak/relay.cpp
@@ -197,8 +197,9 @@
     bool m_stopped = false;
 };
 
-tcp_relay::tcp_relay(asio::io_context& loop, unsigned short server)
-    : m_loop(loop), m_server(server), m_acceptor(loop, {loopback, 0})
+tcp_relay::tcp_relay(asio::io_context& loop, unsigned short server,
+                     unsigned short port)
+    : m_loop(loop), m_server(server), m_acceptor(loop, {loopback, port})
 {
     accept();
 }
@@ -241,8 +242,9 @@
             live->m_silent = true;
 }
 
-udp_relay::udp_relay(asio::io_context& loop, unsigned short host, filter passes)
-    : m_socket(loop, udp::endpoint(loopback, 0)), m_host(loopback, host),
+udp_relay::udp_relay(asio::io_context& loop, unsigned short host,
+                     unsigned short port, filter passes)
+    : m_socket(loop, udp::endpoint(loopback, port)), m_host(loopback, host),
       m_passes(std::move(passes))
 {
     receive();
--- a/test/soak/relay.hpp
+++ b/test/soak/relay.hpp
@@ -41,7 +41,9 @@
 class tcp_relay
 {
 public:
-    tcp_relay(asio::io_context& loop, unsigned short server);
+    // Listens at `port`, or at any free one for 0.
+    tcp_relay(asio::io_context& loop, unsigned short server,
+              unsigned short port = 0);
 
     [[nodiscard]] unsigned short port() const
     {
@@ -76,7 +78,8 @@
     // Tells whether a datagram of the sender passes.
     using filter = std::function<bool(unsigned short sender)>;
 
-    udp_relay(asio::io_context& loop, unsigned short host, filter passes);
+    udp_relay(asio::io_context& loop, unsigned short host, unsigned short port,
+              filter passes);
 
     [[nodiscard]] unsigned short port() const
     {
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -94,8 +94,10 @@
             for (const auto& each : item->endpoints())
                 host.m_to_endpoints.push_back(
                     std::make_unique<tcp_relay>(m_loop, each->port()));
+        host.m_streams_from_peers = std::make_unique<tcp_relay>(
+            m_loop, host.m_peers_port, unused_port(m_loop));
         host.m_from_peers = std::make_unique<udp_relay>(
-            m_loop, host.m_peers_port,
+            m_loop, host.m_peers_port, host.m_streams_from_peers->port(),
             [this, index](unsigned short sender)
             {
                 bool passes = !m_hosts[index].m_peers_cut;
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -44,6 +44,8 @@
     std::unique_ptr<tcp_relay> m_to_store;
     std::vector<std::unique_ptr<tcp_relay>> m_to_endpoints;
     std::unique_ptr<udp_relay> m_from_peers;
+    // Statements that other hosts forward, at the same port number.
+    std::unique_ptr<tcp_relay> m_streams_from_peers;
     // Datagrams to and from the host are lost.
     bool m_peers_cut = false;
     clock::time_point m_started;
