Log since when calls of the store wait and how old the configuration is

The logs could not tell a watch that was asked in the silence of the store from one that the store answered late, nor either from a configuration that was there and not used: a regained dependency did not say when its call was made, and no host knew as of when its configuration is the newest one.

Lost and regained dependencies tell how long the call took and which other parts still wait. The store's time of each reading of the operator's rows is kept; its age is in every refusal, in a log line when it passes the declared bound ([limits] configuration, filled in by the template), in a counter and in a latency. Nothing decides by it yet.

Unit tests of entry_settings, lease and fleet: all pass.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -88,6 +88,9 @@
     // Rows of the operator, before what they change is passed on.
     virtual void operator_rows_read(const rpc::operator_rows& rows,
                                     base::instant now) = 0;
+    // All rows of the operator as of `at` have been passed on and are in force.
+    virtual void operator_rows_confirmed(rpc::store_instant at,
+                                         base::instant now) = 0;
     virtual void
     endpoints_changed(const std::vector<catalogue::endpoint_entry>& endpoints,
                       base::instant now) = 0;
@@ -170,6 +173,8 @@
         const char* m_name;
         bool m_running = false;
         bool m_failing = false;
+        // When the newest call was made.
+        base::instant m_sent;
         base::instant m_next;
         admission::backoff m_backoff{
             {absl::Milliseconds(100), absl::Milliseconds(800)}};
@@ -185,7 +190,10 @@
     [[nodiscard]] bool is_following(base::instant now) const;
     [[nodiscard]] absl::Duration watch_wait() const;
     [[nodiscard]] absl::Duration confirm_after() const;
-    void started(lane& what);
+    void started(lane& what, base::instant now);
+    // The other parts that wait for an answer and for how long they have, such
+    // as `fleet:1.2s`.
+    [[nodiscard]] std::string waiting(const lane& but, base::instant now) const;
     // Follows the store into a new era, of which this host has read nothing
     // yet. False when the answer is of an era before.
     bool follow_era(rpc::store_era era, rpc::row_version version,
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -83,6 +83,9 @@
     // Rows of one change; the store takes 100 entries.
     std::size_t m_largest_recovery = 90;
     lease::currency_options m_currency;
+    // For how long a configuration may be taken for the newest one after it was
+    // known to be: the bound within which a newer one has to be in force.
+    lease::currency_options m_configuration{absl::Seconds(3), {}};
     // In a large fleet peers confirm the rows of most hosts that have
     // registered within this; the others read them.
     absl::Duration m_large_confirmation_wait = absl::Milliseconds(600);
@@ -162,9 +165,23 @@
     tokens(base::instant now) const = 0;
 };
 
+// Tells whether the configuration in force here may be taken for the newest.
+class configuration_status
+{
+public:
+    virtual ~configuration_status() = default;
+
+    // How long ago it was known to be the newest one at most; infinite when it
+    // never was.
+    [[nodiscard]] virtual absl::Duration
+    configuration_age(base::instant now) const = 0;
+};
+
 // Knows which endpoint leads each group and for how long that may be relied
 // on, and replaces the leader when it is this host's turn.
-class fleet_service final : public primary_source, public token_source
+class fleet_service final : public primary_source,
+                            public token_source,
+                            public configuration_status
 {
 public:
     fleet_service(fleet_options options, fleet_links links,
@@ -187,6 +204,7 @@
     void era_changed(rpc::store_era era, rpc::store_instant at,
                      base::instant now);
     void operator_rows_read(const rpc::operator_rows& rows, base::instant now);
+    void operator_rows_confirmed(rpc::store_instant at, base::instant now);
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
                      base::instant now);
     void rows_confirmed(rpc::row_version version, rpc::store_instant at,
@@ -235,6 +253,9 @@
         m_configuration = std::move(configuration);
     }
 
+    [[nodiscard]] absl::Duration
+    configuration_age(base::instant now) const override;
+
     [[nodiscard]] std::optional<base::endpoint_id>
     primary(const base::group_id& group, base::instant now) const override;
     [[nodiscard]] bool may_continue(const base::group_id& group,
@@ -323,6 +344,7 @@
     // False when only evacuated endpoints could lead the group.
     [[nodiscard]] bool has_replacement_candidate(const group_leadership& group,
                                                  base::instant now) const;
+    void check_configuration_age(base::instant now);
     void evacuations_changed(const char* source, base::instant now);
     void follow_evacuations(base::instant now);
     void stop_moving(const base::group_id& id, group_leadership& group,
@@ -419,6 +441,10 @@
     // A peer follows a newer era.
     bool m_era_missing = false;
     rpc::configuration_ptr m_configuration;
+    // As of when all rows of the operator are known.
+    lease::currency m_operator_rows;
+    // The bound has passed since then, and a log line says so.
+    bool m_configuration_outdated = false;
     std::optional<base::instant> m_configuration_asked;
     // The newest configuration that a peer has told, and when it did first.
     base::instant m_newest_configuration_at;
--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -159,6 +159,8 @@
                             base::instant now) override;
     void operator_rows_read(const rpc::operator_rows& rows,
                             base::instant now) override;
+    void operator_rows_confirmed(rpc::store_instant at,
+                                 base::instant now) override;
     void era_changed(rpc::store_era era, rpc::store_instant at,
                      base::instant now) override;
     void row_changed(const rpc::fleet_row& row, rpc::store_instant at,
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -61,6 +61,13 @@
         m_token_source = &source;
     }
 
+    // Whether the configuration is known to be the newest; set once, before
+    // use.
+    void set_configuration_status(const configuration_status& status)
+    {
+        m_configuration_status = &status;
+    }
+
     // Takes a newer configuration. Open transactions keep the old routes.
     void set_configuration(rpc::configuration_ptr configuration);
     [[nodiscard]] const rpc::configuration_ptr& configuration() const
@@ -171,6 +178,7 @@
     absl::flat_hash_map<rpc::session_number, std::unique_ptr<session>>
         m_sessions;
     token_source* m_token_source = nullptr;
+    const configuration_status* m_configuration_status = nullptr;
     base::instant m_next_refresh;
     // Steps of a planned stop.
     bool m_closing_sessions = false;
--- a/include/magnoliastack/entry_settings/entry_settings.hpp
+++ b/include/magnoliastack/entry_settings/entry_settings.hpp
@@ -40,6 +40,9 @@
     // Time after the acknowledgement of an evacuation within which nothing may
     // reach the failure domain any more.
     absl::Duration m_evacuation_limit;
+    // Time after the acknowledgement of a configuration within which it is in
+    // force everywhere.
+    absl::Duration m_configuration_limit;
     // Sessions that the host serves at once.
     std::uint32_t m_largest_sessions = 0;
 };
--- a/include/magnoliastack/lease/currency.hpp
+++ b/include/magnoliastack/lease/currency.hpp
@@ -41,6 +41,11 @@
                                         const store_clock& clock,
                                         base::instant now) const;
 
+    // How long ago the rows were confirmed at most; infinite when they were
+    // not.
+    [[nodiscard]] absl::Duration age(const store_clock& clock,
+                                     base::instant now) const;
+
     [[nodiscard]] rpc::store_instant confirmed_at() const
     {
         return m_at;
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -2,6 +2,8 @@
 
 #include "magnoliastack/fleet/rows.hpp"
 
+#include "absl/strings/str_cat.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -39,12 +41,26 @@
            now - m_rows_fresh_at >= m_options.m_follow_after;
 }
 
-void fleet_follower::started(lane& what)
+void fleet_follower::started(lane& what, base::instant now)
 {
     what.m_running = true;
+    what.m_sent = now;
     m_metrics.counter(std::string("store.calls.") + what.m_name).add();
 }
 
+std::string fleet_follower::waiting(const lane& but, base::instant now) const
+{
+    std::string result;
+    for (const lane* what :
+         {&m_configuration, &m_endpoints, &m_fleet, &m_refresh, &m_catch_up})
+        if (what != &but && what->m_running)
+            absl::StrAppend(&result, result.empty() ? "" : ",", what->m_name,
+                            ":",
+                            absl::FormatDuration(absl::Trunc(
+                                now - what->m_sent, absl::Milliseconds(1))));
+    return result;
+}
+
 bool fleet_follower::ended(lane& what, bool succeeded,
                            const std::string& reason, base::instant now)
 {
@@ -53,7 +69,10 @@
     {
         if (std::exchange(what.m_failing, false))
             m_log.info("dependency_regained",
-                       {{"dependency", "store"}, {"part", what.m_name}});
+                       {{"dependency", "store"},
+                        {"part", what.m_name},
+                        {"answered_after", now - what.m_sent},
+                        {"waiting", waiting(what, now)}});
         what.m_backoff.reset();
         what.m_next = now;
         return true;
@@ -62,6 +81,8 @@
     if (!std::exchange(what.m_failing, true))
         m_log.warning("dependency_lost", {{"dependency", "store"},
                                           {"part", what.m_name},
+                                          {"failed_after", now - what.m_sent},
+                                          {"waiting", waiting(what, now)},
                                           {"reason", reason}});
     m_healthy_since = now;
     what.m_next = now + absl::Milliseconds(20) +
@@ -106,24 +127,25 @@
     m_log.info("history_gone", {{"part", what.m_name}, {"after", version}});
 }
 
-void fleet_follower::ask_configuration(base::instant /*now*/)
+void fleet_follower::ask_configuration(base::instant now)
 {
-    started(m_configuration);
+    started(m_configuration, now);
     const bool whole = m_configuration_row.value() == 0;
     auto done =
         [this, whole, asked = m_era](base::result<rpc::operator_rows> result)
     {
-        const auto now = m_clock.now();
+        const auto received = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
         {
             note_history_gone(m_configuration, m_configuration_row);
             m_configuration_row = {};
         }
         if (ended(m_configuration, result.has_value(),
-                  result ? "" : result.error().m_message, now) &&
-            follow_era(result->m_era, result->m_version, result->m_at, now) &&
+                  result ? "" : result.error().m_message, received) &&
+            follow_era(result->m_era, result->m_version, result->m_at,
+                       received) &&
             (whole || asked == m_era))
-            take_operator_rows(*result, now);
+            take_operator_rows(*result, received);
     };
     if (whole)
         m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
@@ -142,6 +164,7 @@
         m_configuration.m_next = now + absl::Milliseconds(200);
     for (const auto& item : change.m_configurations)
         use_configuration(item, now);
+    m_events.operator_rows_confirmed(change.m_at, now);
 }
 
 void fleet_follower::configuration_told(rpc::configuration_ptr configuration,
@@ -160,9 +183,9 @@
     m_events.configuration_changed(configuration, now);
 }
 
-void fleet_follower::ask_endpoints(base::instant /*now*/)
+void fleet_follower::ask_endpoints(base::instant now)
 {
-    started(m_endpoints);
+    started(m_endpoints, now);
     m_store.read_endpoints(
         m_options.m_call_timeout,
         [this](base::result<rpc::changes<catalogue::endpoint_entry>> result)
@@ -258,7 +281,7 @@
 
 void fleet_follower::ask_fleet(base::instant now)
 {
-    started(m_fleet);
+    started(m_fleet, now);
     const bool whole = !m_fleet_version;
     auto done = [this, whole, asked = m_era,
                  sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
@@ -314,7 +337,7 @@
 {
     if (!m_fleet_version || m_refresh.m_running || now < m_refresh.m_next)
         return;
-    started(m_refresh);
+    started(m_refresh, now);
     m_store.read_fleet_changes(
         *m_fleet_version, m_options.m_call_timeout,
         [this, asked = m_era,
@@ -350,7 +373,7 @@
         (is_large_fleet() &&
          now - m_behind_since < m_options.m_large_catch_up_pause))
         return;
-    started(m_catch_up);
+    started(m_catch_up, now);
     m_store.read_operator_rows(
         m_options.m_call_timeout,
         [this](base::result<rpc::operator_rows> result)
--- a/lib/entry/fleet_relays.cpp
+++ b/lib/entry/fleet_relays.cpp
@@ -1,4 +1,4 @@
-// What hosts pass on to each other: members, endpoints, the configuration.
+// What hosts pass on to each other: members and endpoints.
 #include "magnoliastack/entry/fleet_service.hpp"
 
 #include <utility>
@@ -47,44 +47,6 @@
         m_links.m_datagrams.send(to->m_row.m_address, fleet::encode(update));
 }
 
-base::configuration_version fleet_service::configuration_version() const
-{
-    return m_configuration ? m_configuration->m_version
-                           : base::configuration_version();
-}
-
-// In a small fleet each host's watch has it at the same time. A peer is asked
-// there by a host that is still behind after a while: the store may have come
-// back from a copy that lacks the configuration.
-void fleet_service::ask_configuration(const fleet::host_report& report,
-                                      base::instant now)
-{
-    if (report.m_configuration <= configuration_version() ||
-        (!m_homes.is_large_fleet() && now - m_newest_configuration_at <
-                                          m_options.m_configuration_interval) ||
-        (m_configuration_asked &&
-         now - *m_configuration_asked < m_options.m_configuration_interval))
-        return;
-    m_configuration_asked = now;
-    m_links.m_datagrams.send(
-        m_members.find(report.m_host)->m_row.m_address,
-        fleet::encode(fleet::configuration_request{m_options.m_self}));
-}
-
-void fleet_service::send_configuration(
-    const fleet::configuration_request& request)
-{
-    const fleet::member* to = m_members.find(request.m_host);
-    if (to == nullptr || !m_configuration)
-        return;
-    const std::string bytes =
-        fleet::encode(fleet::configuration_update{m_configuration});
-    if (bytes.size() > m_options.m_largest_configuration)
-        return;
-    m_links.m_metrics.counter("configurations.passed_on").add();
-    m_links.m_datagrams.send(to->m_row.m_address, bytes);
-}
-
 // In a small fleet each host that reaches the store learns the rows there. In a
 // large one hosts of the same failure domain tell each other.
 void fleet_service::pass_members_on(const fleet::member& to, base::instant now)
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -14,6 +14,7 @@
       m_shares(quotas.m_shares), m_homes(quotas.m_homes),
       m_currency(m_options.m_currency),
       m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members),
+      m_operator_rows(m_options.m_configuration),
       m_all_rows(m_options.m_currency), m_endpoints(m_options.m_self),
       m_evacuations(m_options.m_evacuation)
 {
@@ -26,6 +27,7 @@
         return;
     restore_rows(now);
     follow_evacuations(now);
+    check_configuration_age(now);
     register_self(now);
     mark_silent(now);
     update_homes(now);
@@ -281,11 +283,9 @@
 
 absl::Duration fleet_service::confirmed_age(base::instant now) const
 {
-    const auto latest = m_store_clock.latest(now);
-    if (!latest || m_row_missing || m_era_missing)
+    if (m_row_missing || m_era_missing)
         return absl::InfiniteDuration();
-    return absl::Milliseconds(latest->value()) -
-           absl::Milliseconds(m_currency.confirmed_at().value());
+    return m_currency.age(m_store_clock, now);
 }
 
 bool fleet_service::is_current(base::instant now) const
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -56,6 +56,7 @@
 {
     m_service.set_runner(m_runner);
     m_service.set_token_source(m_fleet);
+    m_service.set_configuration_status(m_fleet);
     m_fleet.set_runner(m_runner);
     m_fleet.set_tokens(m_service);
     if (links.m_forwarding != nullptr)
@@ -247,6 +248,11 @@
     m_fleet.operator_rows_read(rows, now);
 }
 
+void host::operator_rows_confirmed(rpc::store_instant at, base::instant now)
+{
+    m_fleet.operator_rows_confirmed(at, now);
+}
+
 void host::era_changed(rpc::store_era era, rpc::store_instant at,
                        base::instant now)
 {
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -69,12 +69,13 @@
             .counter(std::string("refused.start.") +
                      to_string(*checked.m_error))
             .add();
-        m_log.info(
-            "session_refused",
-            {{"database", database},
-             {"reason", to_string(*checked.m_error)},
-             {"version",
-              m_configuration ? m_configuration->m_version.value() : 0}});
+        m_log.info("session_refused",
+                   {{"database", database},
+                    {"reason", to_string(*checked.m_error)},
+                    {"version",
+                     m_configuration ? m_configuration->m_version.value() : 0},
+                    {"configuration_age",
+                     m_configuration_status->configuration_age(now)}});
         m_link.failed(number, *checked.m_error, checked.m_text);
         m_link.close(number);
         return;
@@ -333,11 +334,14 @@
     m_metrics
         .counter(std::string("refused.admission.") + to_string(*why.m_error))
         .add();
-    m_log.info("operation_refused", {{"request", what.m_id},
-                                     {"organisation", who.m_organisation},
-                                     {"database", who.m_database},
-                                     {"version", m_configuration->m_version},
-                                     {"reason", why.m_text}});
+    m_log.info("operation_refused",
+               {{"request", what.m_id},
+                {"organisation", who.m_organisation},
+                {"database", who.m_database},
+                {"version", m_configuration->m_version},
+                {"configuration_age",
+                 m_configuration_status->configuration_age(m_clock.now())},
+                {"reason", why.m_text}});
     if (!why.m_close)
     {
         answer(who, why.m_error, why.m_text);
--- a/lib/entry_settings/entry_settings.cpp
+++ b/lib/entry_settings/entry_settings.cpp
@@ -38,6 +38,8 @@
                                  "6s"),
           settings::duration_key("evacuation", absl::Milliseconds(500),
                                  absl::Minutes(5), "5s"),
+          settings::duration_key("configuration", absl::Milliseconds(500),
+                                 absl::Minutes(5), "3s"),
           settings::integer_key("sessions", 1, 1'000'000, "3500")}},
     }};
 }
@@ -89,6 +91,7 @@
     result.m_log_level = view("log").text("level");
     result.m_stop_limit = view("limits").duration("stop");
     result.m_evacuation_limit = view("limits").duration("evacuation");
+    result.m_configuration_limit = view("limits").duration("configuration");
     result.m_largest_sessions =
         static_cast<std::uint32_t>(view("limits").integer("sessions"));
     return result;
--- a/lib/lease/currency.cpp
+++ b/lib/lease/currency.cpp
@@ -31,6 +31,15 @@
     return latest->value() < m_at.value() + milliseconds(m_options.m_lease);
 }
 
+absl::Duration currency::age(const store_clock& clock, base::instant now) const
+{
+    const auto latest = clock.latest(now);
+    if (!latest || m_at.value() == 0)
+        return absl::InfiniteDuration();
+    return absl::Milliseconds(latest->value()) -
+           absl::Milliseconds(m_at.value());
+}
+
 bool currency::has_lapsed_since(rpc::store_instant change,
                                 const store_clock& clock,
                                 base::instant now) const
--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -71,6 +71,10 @@
                             base::instant /*now*/) override
     {
     }
+    void operator_rows_confirmed(rpc::store_instant /*at*/,
+                                 base::instant /*now*/) override
+    {
+    }
     void endpoints_read(const std::vector<catalogue::endpoint_entry>& /*all*/,
                         rpc::store_instant /*at*/) override
     {
--- a/unittests/entry_settings/entry_settings_test.cpp
+++ b/unittests/entry_settings/entry_settings_test.cpp
@@ -80,6 +80,18 @@
     cr_assert_eq(declared->m_evacuation_limit, absl::Seconds(4));
 }
 
+// A deployment that declares no bound has no line for it.
+Test(entry_settings, an_undeclared_configuration_bound_is_three_seconds)
+{
+    const auto parsed = entry_settings::parse(good, "f");
+    cr_assert(parsed.has_value());
+    cr_assert_eq(parsed->m_configuration_limit, absl::Seconds(3));
+    const auto declared =
+        entry_settings::parse(good + "configuration = 6000ms\n", "f");
+    cr_assert(declared.has_value());
+    cr_assert_eq(declared->m_configuration_limit, absl::Seconds(6));
+}
+
 Test(entry_settings, each_wrong_file_gives_one_line_with_its_place)
 {
     const std::vector<std::pair<std::string, std::string>> wrong = {
@@ -93,6 +105,8 @@
         {with("stop = 6s", "stops = 6s"), "stops"},
         {with("stop = 6s", "evacuation = 0ms"), "evacuation"},
         {with("stop = 6s", "evacuation = ms"), "evacuation"},
+        {with("stop = 6s", "configuration = 0ms"), "configuration"},
+        {with("stop = 6s", "configuration = ms"), "configuration"},
         {with("[limits]", "[limit]"), "limit"},
         {with("stop = 6s", "sessions = 0"), "sessions"},
         {with("[limits]", "[failure_domains]\nd = a b\n[limits]"), "d"},
