--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -353,6 +353,33 @@
     cr_assert_not(relay.next(book, peer, at(1000)).has_value());
 }
 
+// A host that had written the newest member's row itself crashed at the report
+// of a peer that lacked the row before: no row was left to pass on.
+Test(members, a_row_that_was_replaced_meanwhile_is_not_passed_on)
+{
+    member_book book(base::host_id("h0"), base::incarnation(1));
+    book.row_changed(row("h0", 1), rpc::row_version(10),
+                     rpc::store_instant(100), at(0));
+    book.row_changed(row("h1", 1), rpc::row_version(11),
+                     rpc::store_instant(100), at(0));
+    book.row_changed(row("h2", 1), rpc::row_version(12),
+                     rpc::store_instant(100), at(0));
+    book.rows_complete(rpc::row_version(12));
+    book.row_changed(row("h2", 2), rpc::row_version(15),
+                     rpc::store_instant(200), at(5));
+    member peer = *book.find(base::host_id("h1"));
+    host_report& report = peer.m_report.emplace();
+    report.m_members_version = rpc::row_version(11);
+    member_relay relay;
+    cr_assert_not(relay.next(book, peer, at(10)).has_value());
+    // Once the store has shown all rows, the new one is passed on at once.
+    book.rows_complete(rpc::row_version(15));
+    const auto update = relay.next(book, peer, at(20));
+    cr_assert(update.has_value());
+    cr_assert_eq(update->m_rows.size(), 1);
+    cr_assert_eq(update->m_complete, rpc::row_version(15));
+}
+
 Test(endpoint_relay, only_a_later_reading_of_other_endpoints_is_asked_for)
 {
     endpoint_relay relay(base::host_id("h0"));
