Reproduce the late configuration after an outage of the store

They let the store, or only the connections of watches, be silent and judge by the declared bound: 3 s from the acknowledgement, 5 s in a large fleet.

Seen: after silences of 3, 3.25 and 6.5 to 8.25 s of the 32 lengths from 3 to 10.75 s all hosts have the version from before 3 s after the acknowledgement; with silent watch connections, and without any outage, too; with 20 hosts after 9 of the 13 lengths from 4 to 28 s, 5 s after it.

--- /dev/null
+++ b/unittests/entry/configuration_currency_test.cpp
@@ -0,0 +1,165 @@
+// The newest configuration is in force within the declared bound wherever the
+// store, or a host that has reached it, can be heard.
+#include "driver.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace entry_test;
+
+namespace
+{
+
+// The declared bounds of small and of large deployments.
+constexpr absl::Duration bound = absl::Seconds(3);
+constexpr absl::Duration large_bound = absl::Seconds(5);
+constexpr absl::Duration step = absl::Milliseconds(50);
+
+void set_silent(fleet_fixture& f, bool silent)
+{
+    for (auto& host : f.m_hosts)
+        host->m_store.m_silent = silent;
+}
+
+// The operator adds a database; returns the version.
+std::uint64_t add_database(fleet_fixture& f, const std::string& name)
+{
+    auto changed = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    changed->m_version =
+        base::configuration_version(changed->m_version.value() + 1);
+    changed->m_routes[name] =
+        fleet_fixture::route(catalogue::consistency::bounded);
+    f.m_platform.configure(changed);
+    return changed->m_version.value();
+}
+
+// The hosts that have another version in force.
+std::string hosts_without(const fleet_fixture& f, std::uint64_t version)
+{
+    std::string result;
+    for (const auto& host : f.m_hosts)
+        if (host->m_host.configuration_version().value() != version)
+            result += host->m_address + " ";
+    return result;
+}
+
+// The store is silent for `outage`, acknowledges a configuration at its end,
+// and answers from then on.
+std::uint64_t acknowledge_after_silence(fleet_fixture& f, absl::Duration outage)
+{
+    set_silent(f, true);
+    f.run(outage);
+    const auto version = add_database(f, "dispatch");
+    set_silent(f, false);
+    return version;
+}
+
+} // namespace
+
+// Norðurljós, seed 966: a watch that was asked in the silence of the store was
+// waited for, and all hosts used the configuration before the outage for 3.6 s
+// after they had reached the store again.
+Test(configuration_currency, a_version_of_the_end_of_an_outage_is_not_late)
+{
+    for (absl::Duration outage = absl::Seconds(3); outage < absl::Seconds(11);
+         outage += absl::Milliseconds(250))
+    {
+        fleet_fixture f;
+        const auto version = acknowledge_after_silence(f, outage);
+        f.run(bound);
+        cr_expect_str_empty(hosts_without(f, version).c_str(),
+                            "after %ld ms: %s",
+                            absl::ToInt64Milliseconds(outage),
+                            hosts_without(f, version).c_str());
+    }
+}
+
+// The same for a host that hears no peer, and so has to find out by itself.
+Test(configuration_currency, a_host_without_peers_is_not_late_after_an_outage)
+{
+    for (absl::Duration outage = absl::Seconds(3); outage < absl::Seconds(11);
+         outage += absl::Milliseconds(250))
+    {
+        fleet_fixture f;
+        f.host(2).m_heard = false;
+        const auto version = acknowledge_after_silence(f, outage);
+        f.run(bound);
+        cr_expect_str_empty(hosts_without(f, version).c_str(),
+                            "after %ld ms: %s",
+                            absl::ToInt64Milliseconds(outage),
+                            hosts_without(f, version).c_str());
+    }
+}
+
+// In a large fleet a watch waits 20 s, and only some hosts have one.
+Test(configuration_currency, a_large_fleet_is_not_late_after_an_outage)
+{
+    for (absl::Duration outage = absl::Seconds(4); outage < absl::Seconds(30);
+         outage += absl::Seconds(2))
+    {
+        fleet_fixture f(20);
+        const auto version = acknowledge_after_silence(f, outage);
+        f.run(large_bound);
+        cr_expect_str_empty(hosts_without(f, version).c_str(),
+                            "after %ld ms: %s",
+                            absl::ToInt64Milliseconds(outage),
+                            hosts_without(f, version).c_str());
+    }
+}
+
+// A connection that has gone silent looks like one on which nothing changes.
+// The store was there all the time, and the other connections had its answers.
+Test(configuration_currency, a_silent_watch_connection_hides_no_configuration)
+{
+    for (absl::Duration before; before < absl::Seconds(5);
+         before += absl::Milliseconds(250))
+    {
+        fleet_fixture f;
+        for (auto& host : f.m_hosts)
+            host->m_store.m_watch_silent = true;
+        f.run(absl::Seconds(5) + before);
+        const auto version = add_database(f, "dispatch");
+        f.run(bound);
+        cr_expect_str_empty(hosts_without(f, version).c_str(),
+                            "%ld ms after the last answer: %s",
+                            absl::ToInt64Milliseconds(before),
+                            hosts_without(f, version).c_str());
+    }
+}
+
+// Changes in quick series around the end of an outage: the last one is in force
+// in time, and no host goes back to an earlier one.
+Test(configuration_currency,
+     a_series_at_the_end_of_an_outage_ends_with_the_last)
+{
+    for (absl::Duration outage = absl::Seconds(4); outage < absl::Seconds(10);
+         outage += absl::Milliseconds(500))
+    {
+        fleet_fixture f;
+        auto last = acknowledge_after_silence(f, outage);
+        std::vector<std::uint64_t> highest(f.m_hosts.size());
+        const auto run = [&f, &highest](absl::Duration span)
+        {
+            for (absl::Duration passed; passed < span; passed += step)
+            {
+                f.run(step);
+                for (std::size_t at = 0; at < highest.size(); ++at)
+                {
+                    const auto now =
+                        f.host(at).m_host.configuration_version().value();
+                    cr_assert_geq(now, highest[at]);
+                    highest[at] = now;
+                }
+            }
+        };
+        for (int count = 0; count < 10; ++count)
+        {
+            run(absl::Milliseconds(150));
+            last = add_database(f, "dispatch-" + std::to_string(count));
+        }
+        run(bound);
+        cr_expect_str_empty(hosts_without(f, last).c_str(), "after %ld ms: %s",
+                            absl::ToInt64Milliseconds(outage),
+                            hosts_without(f, last).c_str());
+    }
+}
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -191,10 +191,12 @@
         return rpc::store_instant(static_cast<std::uint64_t>(
             absl::ToInt64Milliseconds(m_clock.m_now - base::instant())));
     }
-    void read_operator_rows(absl::Duration /*timeout*/,
+    void read_operator_rows(absl::Duration timeout,
                             callback<rpc::operator_rows> done) override
     {
         ++m_made;
+        if (lose(timeout, done))
+            return;
         rpc::operator_rows all;
         all.m_whole = true;
         if (m_platform.m_configuration)
@@ -205,11 +207,9 @@
         finish(std::move(done), std::move(all));
     }
     void watch_operator_rows(rpc::row_version version, absl::Duration wait,
-                             absl::Duration /*timeout*/,
+                             absl::Duration timeout,
                              callback<rpc::operator_rows> done) override
     {
-        if (m_watch_silent)
-            return;
         watch(
             [this, version]
             {
@@ -217,17 +217,19 @@
                        m_platform.m_evacuations_version > version ||
                        has_lost(version);
             },
-            wait,
-            [this, version, done = std::move(done)]
+            wait, timeout, done,
+            [this, version, done]
             {
                 read_changed_operator_rows(version, done);
             });
     }
     void read_endpoints(
-        absl::Duration /*timeout*/,
+        absl::Duration timeout,
         callback<rpc::changes<catalogue::endpoint_entry>> done) override
     {
         ++m_made;
+        if (lose(timeout, done))
+            return;
         rpc::changes<catalogue::endpoint_entry> all;
         all.m_rows = m_platform.m_entries;
         finish(std::move(done), std::move(all));
@@ -241,35 +243,36 @@
                      absl::Duration timeout,
                      callback<rpc::changes<rpc::fleet_row>> done) override
     {
-        if (m_watch_silent)
-            return;
         watch(
             [this, version]
             {
                 return rpc::row_version(m_platform.m_version) > version ||
                        has_lost(version);
             },
-            wait,
-            [this, version, timeout, done = std::move(done)]
+            wait, timeout, done,
+            [this, version, timeout, done]
             {
                 read_fleet_changes(version, timeout, done);
             });
     }
     void
-    read_fleet_changes(rpc::row_version version, absl::Duration /*timeout*/,
+    read_fleet_changes(rpc::row_version version, absl::Duration timeout,
                        callback<rpc::changes<rpc::fleet_row>> done) override
     {
         ++m_made;
+        if (lose(timeout, done))
+            return;
         if (has_lost(version))
             refuse(std::move(done));
         else
             finish(std::move(done), rows_after(version));
     }
-    void change_fleet(const rpc::fleet_change& change,
-                      absl::Duration /*timeout*/,
+    void change_fleet(const rpc::fleet_change& change, absl::Duration timeout,
                       callback<rpc::change_outcome> done) override
     {
         ++m_made;
+        if (lose(timeout, done))
+            return;
         m_calls.emplace_back(
             [this, change, done = std::move(done)]
             {
@@ -299,23 +302,37 @@
         auto watches = std::exchange(m_watches, {});
         for (auto& item : watches)
         {
-            if (item.m_changed() || m_clock.m_now >= item.m_until ||
-                !m_reachable)
+            const bool is_due = item.m_changed() ||
+                                m_clock.m_now >= item.m_until || !m_reachable;
+            if (is_due && m_silent)
+                m_lost.push_back({item.m_fails_at, item.m_fail});
+            else if (is_due)
                 item.m_answer();
             else
                 m_watches.push_back(std::move(item));
         }
+        for (auto& item : std::exchange(m_lost, {}))
+        {
+            if (m_clock.m_now >= item.m_fails_at)
+                item.m_fail();
+            else
+                m_lost.push_back(std::move(item));
+        }
         auto calls = std::exchange(m_calls, {});
         for (auto& call : calls)
             call();
     }
 
+    // False: calls fail at once.
     bool m_reachable = true;
+    // Requests and answers of this time are lost, and calls fail at their
+    // timeout, also when the store answers others again by then.
+    bool m_silent = false;
     // Changes are carried out, but their answers do not come.
     bool m_change_answers_lost = false;
     // Calls that the host has made.
     std::uint64_t m_made = 0;
-    // The watch's connection has gone silent; other calls are answered.
+    // The same for the connections of watches; other calls are answered.
     bool m_watch_silent = false;
 
 private:
@@ -325,13 +342,45 @@
         std::function<bool()> m_changed;
         base::instant m_until;
         std::function<void()> m_answer;
+        base::instant m_fails_at;
+        std::function<void()> m_fail;
+    };
+    // A call that gets no answer.
+    struct lost_call
+    {
+        base::instant m_fails_at;
+        std::function<void()> m_fail;
     };
 
+    template <typename Answer>
     void watch(std::function<bool()> changed, absl::Duration wait,
+               absl::Duration timeout, const callback<Answer>& done,
                std::function<void()> answer)
     {
-        m_watches.push_back(
-            {std::move(changed), m_clock.m_now + wait, std::move(answer)});
+        if (m_watch_silent || m_silent)
+            m_lost.push_back({m_clock.m_now + timeout, failure(done)});
+        else
+            m_watches.push_back({std::move(changed), m_clock.m_now + wait,
+                                 std::move(answer), m_clock.m_now + timeout,
+                                 failure(done)});
+    }
+
+    template <typename Answer>
+    static std::function<void()> failure(const callback<Answer>& done)
+    {
+        return [done]
+        {
+            done(base::fail(base::error_code::deadline_exceeded, "timeout"));
+        };
+    }
+
+    // True when the store is silent; the call fails at its timeout then.
+    template <typename Answer>
+    bool lose(absl::Duration timeout, const callback<Answer>& done)
+    {
+        if (m_silent)
+            m_lost.push_back({m_clock.m_now + timeout, failure(done)});
+        return m_silent;
     }
 
     [[nodiscard]] rpc::changes<rpc::fleet_row>
@@ -433,6 +482,7 @@
     fake_clock& m_clock;
     std::vector<std::function<void()>> m_calls;
     std::vector<pending_watch> m_watches;
+    std::vector<lost_call> m_lost;
 };
 
 // The platform's promotions.
