Know as of when the configuration is the newest, and ask when that is old

Callers saw 404 for a route that had been added, and requests handled by a version from before an outage, more than 3 s after the new one had been acknowledged and up to 4.2 s after the host itself had reached the store again.

Cause: the watch of the operator's rows is their only reader and has one call at a time. One that is asked while the store is silent is never answered and is waited for until its own limit (4 s + 1 s; 20 s + 1 s in a large fleet), whatever other parts hear meanwhile. All hosts' watches run out together, so no peer knows more either.

Fix: a host keeps the store's time as of which it knows the operator's rows. The store counts the versions of all rows together, so any answer that tells no higher version confirms them, and reports pass the time on. A higher version after a failed call, or 0.4 of the declared bound without a confirmation, makes the host read what has changed by a short call beside the watch. This works because it no longer matters why the watch is silent: what counts is the age, whose limit leaves time for a lost call and its repetition. The former read for hosts that are behind a peer is the same part now.

Ruled out: a store that acknowledges before its watches know, and a configuration that is there but not used (the postmortem has the log lines).

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -37,6 +37,14 @@
     absl::Duration m_large_confirm_after = absl::Milliseconds(900);
     absl::Duration m_confirm_step = absl::Milliseconds(500);
     absl::Duration m_confirm_latest = absl::Milliseconds(3000);
+    // Time after its acknowledgement within which a configuration has to be in
+    // force. When the operator's rows have not been confirmed for this part of
+    // it they are read, with the same steps between hosts as the fleet's rows;
+    // the rest is for a call that is lost, its repetition, and the way to the
+    // hosts that hear of it from this one.
+    absl::Duration m_configuration_bound = absl::Seconds(3);
+    double m_confirm_configuration_part = 0.4;
+    double m_confirm_configuration_latest_part = 0.8;
     // An endpoint that leaves has several seconds left.
     absl::Duration m_endpoints_interval = absl::Milliseconds(1500);
     // In a large fleet this many hosts of each failure domain follow the store.
@@ -60,10 +68,10 @@
     // Pause after a read of the rows that confirmed none, because they may be
     // lacking what the store has lost.
     absl::Duration m_unconfirmed_pause = absl::Milliseconds(200);
-    // Pause after a read because a peer has a newer configuration.
-    absl::Duration m_catch_up_pause = absl::Milliseconds(200);
-    // In a large fleet the peer sends it; it is read when none has come by
-    // then.
+    // Pause after a read of the operator's rows beside the watch.
+    absl::Duration m_operator_rows_pause = absl::Milliseconds(200);
+    // In a large fleet a peer that has a newer configuration sends it; it is
+    // read when none has come by then.
     absl::Duration m_large_catch_up_pause = absl::Milliseconds(1000);
     absl::Duration m_call_timeout = absl::Milliseconds(1000);
     // Failed calls of a large fleet are repeated this many times later: many
@@ -144,6 +152,9 @@
     void rows_age(absl::Duration age, base::instant now);
     // Reads what has changed in the fleet's rows, unless that runs already.
     void refresh_rows(base::instant now);
+    // Reads what has changed in the operator's rows when they were confirmed
+    // too long ago, unless a call that tells whether they have changed runs.
+    void configuration_age(absl::Duration age, base::instant now);
     // Reads the configuration when a peer has a newer one.
     void peer_has_configuration(base::configuration_version version,
                                 base::instant now);
@@ -181,6 +192,14 @@
     };
 
     void ask_configuration(base::instant now);
+    void refresh_operator_rows(bool whole, base::instant now);
+    // Takes the answer to a call of the part.
+    rpc::fleet_store::callback<rpc::operator_rows>
+    operator_rows_taker(lane& what, bool whole);
+    // Judges the operator's rows by an answer of another part: the store counts
+    // the versions of all its rows together.
+    void compare_operator_rows(rpc::row_version version, rpc::store_instant at,
+                               base::instant now);
     void ask_endpoints(base::instant now);
     void ask_fleet(base::instant now);
     [[nodiscard]] bool is_large_fleet() const
@@ -190,6 +209,8 @@
     [[nodiscard]] bool is_following(base::instant now) const;
     [[nodiscard]] absl::Duration watch_wait() const;
     [[nodiscard]] absl::Duration confirm_after() const;
+    [[nodiscard]] absl::Duration confirm_configuration_after() const;
+    [[nodiscard]] absl::Duration operator_refresh_pause() const;
     void started(lane& what, base::instant now);
     // The other parts that wait for an answer and for how long they have, such
     // as `fleet:1.2s`.
@@ -227,7 +248,12 @@
     lane m_endpoints{"endpoints"};
     lane m_fleet{"fleet"};
     lane m_refresh{"refresh"};
-    lane m_catch_up{"configuration_catch_up"};
+    lane m_operator_refresh{"operator_rows"};
+    // A call has failed since the operator's rows were read last: watches that
+    // were running then may never be answered.
+    bool m_contact_lost = false;
+    // The fleet's rows are due, so a failed refresh is being repeated.
+    bool m_rows_due = false;
     std::size_t m_fleet_size = 1;
     std::size_t m_reading_place = 0;
     // When the rows' confirmation was young enough last, and when all rows were
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -344,6 +344,8 @@
     // False when only evacuated endpoints could lead the group.
     [[nodiscard]] bool has_replacement_candidate(const group_leadership& group,
                                                  base::instant now) const;
+    void take_operator_confirmation(const fleet::host_report& report,
+                                    base::instant now);
     void check_configuration_age(base::instant now);
     void evacuations_changed(const char* source, base::instant now);
     void follow_evacuations(base::instant now);
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -68,6 +68,9 @@
     rpc::row_version m_leaderships_after;
     quota::demand_report m_demand;
     evacuation_set m_evacuations;
+    // A time of the store at which the configuration and the evacuations above
+    // were the newest ones; 0 when none is known.
+    rpc::store_instant m_operator_confirmed_at;
     // Groups of which the host has news; the primaries of the others answer it,
     // or it has not asked them.
     std::vector<group_report> m_groups;
--- a/include/magnoliastack/rpc/fleet_store.hpp
+++ b/include/magnoliastack/rpc/fleet_store.hpp
@@ -111,6 +111,11 @@
                                      absl::Duration timeout,
                                      callback<operator_rows> done) = 0;
 
+    // The same at once, while a watch may be running.
+    virtual void read_operator_changes(row_version version,
+                                       absl::Duration timeout,
+                                       callback<operator_rows> done) = 0;
+
     // All entries of endpoints.
     virtual void
     read_endpoints(absl::Duration timeout,
--- a/lib/entry/fleet_configuration.cpp
+++ b/lib/entry/fleet_configuration.cpp
@@ -66,6 +66,17 @@
             {{"version", configuration_version()}, {"unconfirmed_for", age}});
 }
 
+// Whoever told it had the newest rows then; this host has them as well unless
+// its configuration is older. Evacuations have been taken from the report.
+void fleet_service::take_operator_confirmation(const fleet::host_report& report,
+                                               base::instant now)
+{
+    if (is_of_era(report) && m_configuration &&
+        report.m_configuration <= configuration_version() &&
+        report.m_operator_confirmed_at > m_operator_rows.confirmed_at())
+        operator_rows_confirmed(report.m_operator_confirmed_at, now);
+}
+
 void fleet_service::check_configuration_age(base::instant now)
 {
     if (m_configuration_outdated || !m_configuration ||
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -51,8 +51,8 @@
 std::string fleet_follower::waiting(const lane& but, base::instant now) const
 {
     std::string result;
-    for (const lane* what :
-         {&m_configuration, &m_endpoints, &m_fleet, &m_refresh, &m_catch_up})
+    for (const lane* what : {&m_configuration, &m_endpoints, &m_fleet,
+                             &m_refresh, &m_operator_refresh})
         if (what != &but && what->m_running)
             absl::StrAppend(&result, result.empty() ? "" : ",", what->m_name,
                             ":",
@@ -85,6 +85,7 @@
                                           {"waiting", waiting(what, now)},
                                           {"reason", reason}});
     m_healthy_since = now;
+    m_contact_lost = true;
     what.m_next = now + absl::Milliseconds(20) +
                   what.m_backoff.next(m_random) *
                       (is_large_fleet() ? m_options.m_large_retry_factor : 1);
@@ -131,33 +132,79 @@
 {
     started(m_configuration, now);
     const bool whole = m_configuration_row.value() == 0;
-    auto done =
-        [this, whole, asked = m_era](base::result<rpc::operator_rows> result)
+    auto done = operator_rows_taker(m_configuration, whole);
+    if (whole)
+        m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
+    else
+        m_store.watch_operator_rows(m_configuration_row, watch_wait(),
+                                    watch_wait() + m_options.m_call_timeout,
+                                    std::move(done));
+}
+
+void fleet_follower::refresh_operator_rows(bool whole, base::instant now)
+{
+    if (m_operator_refresh.m_running || now < m_operator_refresh.m_next)
+        return;
+    started(m_operator_refresh, now);
+    whole = whole || m_configuration_row.value() == 0;
+    auto done = operator_rows_taker(m_operator_refresh, whole);
+    if (whole)
+        m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
+    else
+        m_store.read_operator_changes(
+            m_configuration_row, m_options.m_call_timeout, std::move(done));
+}
+
+rpc::fleet_store::callback<rpc::operator_rows>
+fleet_follower::operator_rows_taker(lane& what, bool whole)
+{
+    return [this, &what, whole,
+            asked = m_era](const base::result<rpc::operator_rows>& result)
     {
-        const auto received = m_clock.now();
+        const auto now = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
         {
-            note_history_gone(m_configuration, m_configuration_row);
+            note_history_gone(what, m_configuration_row);
             m_configuration_row = {};
         }
-        if (ended(m_configuration, result.has_value(),
-                  result ? "" : result.error().m_message, received) &&
-            follow_era(result->m_era, result->m_version, result->m_at,
-                       received) &&
+        if (ended(what, result.has_value(),
+                  result ? "" : result.error().m_message, now) &&
+            follow_era(result->m_era, result->m_version, result->m_at, now) &&
             (whole || asked == m_era))
-            take_operator_rows(*result, received);
+            take_operator_rows(*result, now);
+        if (&what == &m_operator_refresh)
+            what.m_next = std::max(what.m_next, now + operator_refresh_pause());
     };
-    if (whole)
-        m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
-    else
-        m_store.watch_operator_rows(m_configuration_row, watch_wait(),
-                                    watch_wait() + m_options.m_call_timeout,
-                                    std::move(done));
+}
+
+void fleet_follower::compare_operator_rows(rpc::row_version version,
+                                           rpc::store_instant at,
+                                           base::instant now)
+{
+    if (!has_configuration())
+        return;
+    // An answer that is older than another one, or holds only a part of the
+    // rows, says nothing about the newest version.
+    if (version == m_newest_version && version <= m_configuration_row)
+        m_events.operator_rows_confirmed(at, now);
+    else if (version > m_configuration_row && m_contact_lost)
+        refresh_operator_rows(false, now);
+}
+
+void fleet_follower::configuration_age(absl::Duration age, base::instant now)
+{
+    const bool is_other_call_on_its_way =
+        m_endpoints.m_running || m_endpoints.m_failing || m_refresh.m_running ||
+        (m_refresh.m_failing && m_rows_due);
+    if (has_configuration() && !is_other_call_on_its_way &&
+        age >= confirm_configuration_after())
+        refresh_operator_rows(false, now);
 }
 
 void fleet_follower::take_operator_rows(const rpc::operator_rows& change,
                                         base::instant now)
 {
+    m_contact_lost = false;
     m_configuration_row = std::max(m_configuration_row, change.m_version);
     m_events.operator_rows_read(change, now);
     if (change.m_configurations.empty() && !has_configuration())
@@ -197,6 +244,7 @@
             if (!follow_era(result->m_era, result->m_version, result->m_at,
                             received))
                 return;
+            compare_operator_rows(result->m_version, result->m_at, received);
             m_endpoints_at = received;
             if (m_has_endpoints &&
                 received - m_healthy_since < m_options.m_lapse_grace)
@@ -293,11 +341,13 @@
                               m_fleet_version.value_or(rpc::row_version()));
             m_fleet_version.reset();
         }
-        if (ended(m_fleet, result.has_value(),
-                  result ? "" : result.error().m_message, received) &&
-            follow_era(result->m_era, result->m_version, result->m_at,
-                       received) &&
-            (whole || asked == m_era))
+        if (!ended(m_fleet, result.has_value(),
+                   result ? "" : result.error().m_message, received) ||
+            !follow_era(result->m_era, result->m_version, result->m_at,
+                        received))
+            return;
+        compare_operator_rows(result->m_version, result->m_at, received);
+        if (whole || asked == m_era)
             take_fleet(*result, sent, received);
     };
     if (whole)
@@ -325,8 +375,24 @@
                             static_cast<double>(m_reading_place));
 }
 
+absl::Duration fleet_follower::operator_refresh_pause() const
+{
+    return is_large_fleet() ? m_options.m_large_catch_up_pause
+                            : m_options.m_operator_rows_pause;
+}
+
+absl::Duration fleet_follower::confirm_configuration_after() const
+{
+    const absl::Duration bound = m_options.m_configuration_bound;
+    return std::min(bound * m_options.m_confirm_configuration_latest_part,
+                    bound * m_options.m_confirm_configuration_part +
+                        m_options.m_confirm_step *
+                            static_cast<double>(m_reading_place));
+}
+
 void fleet_follower::rows_age(absl::Duration age, base::instant now)
 {
+    m_rows_due = age >= confirm_after();
     if (age < confirm_after())
         m_rows_fresh_at = now;
     if (age >= confirm_after())
@@ -353,9 +419,13 @@
             if (ended(m_refresh, result.has_value(),
                       result ? "" : result.error().m_message, received) &&
                 follow_era(result->m_era, result->m_version, result->m_at,
-                           received) &&
-                asked == m_era)
-                take_fleet(*result, sent, received);
+                           received))
+            {
+                compare_operator_rows(result->m_version, result->m_at,
+                                      received);
+                if (asked == m_era)
+                    take_fleet(*result, sent, received);
+            }
             m_refresh.m_next = std::max(
                 m_refresh.m_next, received + m_options.m_unconfirmed_pause);
         });
@@ -369,25 +439,9 @@
         m_behind_since = now;
         return;
     }
-    if (m_catch_up.m_running || now < m_catch_up.m_next ||
-        (is_large_fleet() &&
-         now - m_behind_since < m_options.m_large_catch_up_pause))
-        return;
-    started(m_catch_up, now);
-    m_store.read_operator_rows(
-        m_options.m_call_timeout,
-        [this](base::result<rpc::operator_rows> result)
-        {
-            const auto received = m_clock.now();
-            if (ended(m_catch_up, result.has_value(),
-                      result ? "" : result.error().m_message, received) &&
-                follow_era(result->m_era, result->m_version, result->m_at,
-                           received))
-                take_operator_rows(*result, received);
-            m_catch_up.m_next =
-                received + (is_large_fleet() ? m_options.m_large_catch_up_pause
-                                             : m_options.m_catch_up_pause);
-        });
+    if (!is_large_fleet() ||
+        now - m_behind_since >= m_options.m_large_catch_up_pause)
+        refresh_operator_rows(true, now);
 }
 
 void fleet_follower::take_fleet(const rpc::changes<rpc::fleet_row>& change,
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -28,6 +28,7 @@
     if (!m_homes.is_large_fleet())
         report.m_demand = m_demand.report(m_tokens->tokens(now), now);
     report.m_evacuations = m_evacuations.set();
+    report.m_operator_confirmed_at = m_operator_rows.confirmed_at();
     report.m_leaderships_version = m_leaderships_version;
     for (const auto& [id, group] : m_groups)
         if (!is_row_new(group, now))
@@ -268,6 +269,7 @@
             taken.m_evacuations,
             m_store_clock.latest(now).value_or(rpc::store_instant())))
         evacuations_changed(host.str().c_str(), now);
+    take_operator_confirmation(taken, now);
     take_rows(taken, now);
     pass_members_on(*m_members.find(host), now);
     if (m_endpoints.should_ask(taken, now))
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -71,6 +71,7 @@
     if (m_fleet.needs_rows(now))
         m_follower.refresh_rows(now);
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
+    m_follower.configuration_age(m_fleet.configuration_age(now), now);
     m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
     m_follower.tick(now);
     follow_drain(now);
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -128,6 +128,8 @@
     for (const auto item : from.getGroups())
         to.m_groups.push_back(read_group(item));
     to.m_evacuations = read_evacuations(from);
+    to.m_operator_confirmed_at =
+        rpc::store_instant(from.getOperatorConfirmedAt());
     return to;
 }
 
@@ -164,6 +166,7 @@
     for (const auto& group : report.m_groups)
         write_group(groups[index++], group);
     write_evacuations(root, report.m_evacuations);
+    root.setOperatorConfirmedAt(report.m_operator_confirmed_at.value());
 }
 
 void write(wire::Tokens::Builder to, const token_transfer& from)
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -215,4 +215,7 @@
   evacuations @17 :List(Evacuation);
   evacuationsEra @18 :UInt64;
   evacuationsVersion @19 :UInt64;
+  # The store's time in milliseconds at which the configuration and the
+  # evacuations of the report were the newest ones; 0 when not known.
+  operatorConfirmedAt @20 :UInt64;
 }
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -223,6 +223,13 @@
                 read_changed_operator_rows(version, done);
             });
     }
+    void read_operator_changes(rpc::row_version version, absl::Duration timeout,
+                               callback<rpc::operator_rows> done) override
+    {
+        ++m_made;
+        if (!lose(timeout, done))
+            read_changed_operator_rows(version, std::move(done));
+    }
     void read_endpoints(
         absl::Duration timeout,
         callback<rpc::changes<catalogue::endpoint_entry>> done) override
