Read all rows beside a watch that has gone silent

The short call that keeps the rows confirmed reads all of them when no earlier reading counts any more, as the operator's rows do. The platform's whole read goes over the connection for short calls, since it would queue behind the watch on the other one. The two readers of the fleet's rows share one function for their answers.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -150,7 +150,8 @@
                             base::instant now);
     // Reads the fleet's rows when they were confirmed too long ago.
     void rows_age(absl::Duration age, base::instant now);
-    // Reads what has changed in the fleet's rows, unless that runs already.
+    // Reads what has changed in the fleet's rows, or all of them when no
+    // earlier reading counts any more, unless that runs already.
     void refresh_rows(base::instant now);
     // Reads what has changed in the operator's rows when they were confirmed
     // too long ago, unless a call that tells whether they have changed runs.
@@ -183,6 +184,8 @@
 
         const char* m_name;
         bool m_running = false;
+        // The call that runs is a watch.
+        bool m_watching = false;
         bool m_failing = false;
         // When the newest call was made.
         base::instant m_sent;
@@ -196,6 +199,9 @@
     // Takes the answer to a call of the part.
     rpc::fleet_store::callback<rpc::operator_rows>
     operator_rows_taker(lane& what, bool whole);
+    // The same for the fleet's rows; the call was made at `sent`.
+    rpc::fleet_store::callback<rpc::changes<rpc::fleet_row>>
+    fleet_rows_taker(lane& what, bool whole, base::instant sent);
     // Judges the operator's rows by an answer of another part: the store counts
     // the versions of all its rows together.
     void compare_operator_rows(rpc::row_version version, rpc::store_instant at,
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -65,6 +65,7 @@
                            const std::string& reason, base::instant now)
 {
     what.m_running = false;
+    what.m_watching = false;
     if (succeeded)
     {
         if (std::exchange(what.m_failing, false))
@@ -132,6 +133,7 @@
 {
     started(m_configuration, now);
     const bool whole = m_configuration_row.value() == 0;
+    m_configuration.m_watching = !whole;
     auto done = operator_rows_taker(m_configuration, whole);
     if (whole)
         m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
@@ -143,10 +145,13 @@
 
 void fleet_follower::refresh_operator_rows(bool whole, base::instant now)
 {
-    if (m_operator_refresh.m_running || now < m_operator_refresh.m_next)
+    // The first reading of all rows is the watch's own.
+    const bool is_first = m_configuration_row.value() == 0;
+    if (m_operator_refresh.m_running || now < m_operator_refresh.m_next ||
+        (is_first && !m_configuration.m_watching))
         return;
     started(m_operator_refresh, now);
-    whole = whole || m_configuration_row.value() == 0;
+    whole = whole || is_first;
     auto done = operator_rows_taker(m_operator_refresh, whole);
     if (whole)
         m_store.read_operator_rows(m_options.m_call_timeout, std::move(done));
@@ -331,31 +336,41 @@
 {
     started(m_fleet, now);
     const bool whole = !m_fleet_version;
-    auto done = [this, whole, asked = m_era,
-                 sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
+    m_fleet.m_watching = !whole;
+    auto done = fleet_rows_taker(m_fleet, whole, now);
+    if (whole)
+        m_store.read_fleet(m_options.m_call_timeout, std::move(done));
+    else
+        m_store.watch_fleet(*m_fleet_version, watch_wait(),
+                            watch_wait() + m_options.m_call_timeout,
+                            std::move(done));
+}
+
+rpc::fleet_store::callback<rpc::changes<rpc::fleet_row>>
+fleet_follower::fleet_rows_taker(lane& what, bool whole, base::instant sent)
+{
+    return [this, &what, whole, sent, asked = m_era](
+               const base::result<rpc::changes<rpc::fleet_row>>& result)
     {
-        const auto received = m_clock.now();
+        const auto now = m_clock.now();
         if (!result && result.error().m_code == base::error_code::not_found)
         {
-            note_history_gone(m_fleet,
+            note_history_gone(what,
                               m_fleet_version.value_or(rpc::row_version()));
             m_fleet_version.reset();
         }
-        if (!ended(m_fleet, result.has_value(),
-                   result ? "" : result.error().m_message, received) ||
-            !follow_era(result->m_era, result->m_version, result->m_at,
-                        received))
-            return;
-        compare_operator_rows(result->m_version, result->m_at, received);
-        if (whole || asked == m_era)
-            take_fleet(*result, sent, received);
+        if (ended(what, result.has_value(),
+                  result ? "" : result.error().m_message, now) &&
+            follow_era(result->m_era, result->m_version, result->m_at, now))
+        {
+            compare_operator_rows(result->m_version, result->m_at, now);
+            if (whole || asked == m_era)
+                take_fleet(*result, sent, now);
+        }
+        if (&what == &m_refresh)
+            what.m_next =
+                std::max(what.m_next, now + m_options.m_unconfirmed_pause);
     };
-    if (whole)
-        m_store.read_fleet(m_options.m_call_timeout, std::move(done));
-    else
-        m_store.watch_fleet(*m_fleet_version, watch_wait(),
-                            watch_wait() + m_options.m_call_timeout,
-                            std::move(done));
 }
 
 absl::Duration fleet_follower::watch_wait() const
@@ -401,34 +416,18 @@
 
 void fleet_follower::refresh_rows(base::instant now)
 {
-    if (!m_fleet_version || m_refresh.m_running || now < m_refresh.m_next)
+    // The first reading of all rows is the watch's own.
+    const bool whole = !m_fleet_version;
+    if (m_refresh.m_running || now < m_refresh.m_next ||
+        (whole && !m_fleet.m_watching))
         return;
     started(m_refresh, now);
-    m_store.read_fleet_changes(
-        *m_fleet_version, m_options.m_call_timeout,
-        [this, asked = m_era,
-         sent = now](base::result<rpc::changes<rpc::fleet_row>> result)
-        {
-            const auto received = m_clock.now();
-            if (!result && result.error().m_code == base::error_code::not_found)
-            {
-                note_history_gone(m_refresh,
-                                  m_fleet_version.value_or(rpc::row_version()));
-                m_fleet_version.reset();
-            }
-            if (ended(m_refresh, result.has_value(),
-                      result ? "" : result.error().m_message, received) &&
-                follow_era(result->m_era, result->m_version, result->m_at,
-                           received))
-            {
-                compare_operator_rows(result->m_version, result->m_at,
-                                      received);
-                if (asked == m_era)
-                    take_fleet(*result, sent, received);
-            }
-            m_refresh.m_next = std::max(
-                m_refresh.m_next, received + m_options.m_unconfirmed_pause);
-        });
+    auto done = fleet_rows_taker(m_refresh, whole, now);
+    if (whole)
+        m_store.read_fleet(m_options.m_call_timeout, std::move(done));
+    else
+        m_store.read_fleet_changes(*m_fleet_version, m_options.m_call_timeout,
+                                   std::move(done));
 }
 
 void fleet_follower::peer_has_configuration(base::configuration_version version,
--- a/unittests/entry/store_return_test.cpp
+++ b/unittests/entry/store_return_test.cpp
@@ -350,6 +350,31 @@
     cr_assert_not(seen.m_known.at("e0").m_leaving);
 }
 
+// A host that had learned of the return by a short call read the rows anew only
+// when its silent watch had timed out, and used no primary after its lease.
+Test(store_return, a_silent_watch_does_not_delay_reading_all_rows_anew)
+{
+    for (absl::Duration before; before < absl::Seconds(20);
+         before += absl::Seconds(5))
+    {
+        fleet_fixture f(20);
+        f.run(absl::Seconds(20));
+        const auto older = f.m_platform.copy();
+        for (auto& host : f.m_hosts)
+            host->m_store.m_watch_silent = true;
+        f.run(absl::Seconds(20) + before);
+        f.m_platform.come_back(older);
+        for (int count = 0; count < 400; ++count)
+        {
+            f.run(step);
+            for (const auto& host : f.m_hosts)
+                cr_assert(host->m_host.primary(group_name).has_value(),
+                          "%ld s, %d steps after the return",
+                          absl::ToInt64Seconds(before), count);
+        }
+    }
+}
+
 // Every host that knew of the lost promotion is gone, and the copy's row names
 // the endpoint before, which runs as a replica now. The endpoints' own entries
 // tell who leads.
