Refuse nothing for good by a configuration that may be outdated

Such a refusal is BUSY now while the configuration is older than the declared bound, or a peer has told of a newer one. The caller tries another host or comes back, as after any BUSY. What the configuration does allow is served as before: a domain that is cut off has to go on.

configuration_currency/an_outdated_host_refuses_nothing_for_good failed before and passes.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -175,6 +175,9 @@
     // never was.
     [[nodiscard]] virtual absl::Duration
     configuration_age(base::instant now) const = 0;
+    // False when a newer one may have to be in force by now.
+    [[nodiscard]] virtual bool
+    is_configuration_current(base::instant now) const = 0;
 };
 
 // Knows which endpoint leads each group and for how long that may be relied
@@ -255,6 +258,8 @@
 
     [[nodiscard]] absl::Duration
     configuration_age(base::instant now) const override;
+    [[nodiscard]] bool
+    is_configuration_current(base::instant now) const override;
 
     [[nodiscard]] std::optional<base::endpoint_id>
     primary(const base::group_id& group, base::instant now) const override;
--- a/include/magnoliastack/entry/session_service.hpp
+++ b/include/magnoliastack/entry/session_service.hpp
@@ -144,6 +144,9 @@
     bool serve_locally(session& who, const rpc::opaque_statement& what);
     void run(session& who, rpc::opaque_statement what, base::instant now);
     [[nodiscard]] admission_result identify(session& who) const;
+    // The configuration lacks what a session names.
+    [[nodiscard]] admission_result not_configured(rpc::statement_error error,
+                                                  const char* text) const;
     void start(session& who, rpc::opaque_statement what,
                const std::optional<base::host_id>& lender, base::instant now);
     void wait_for_token(session& who, rpc::opaque_statement what,
--- a/lib/entry/fleet_configuration.cpp
+++ b/lib/entry/fleet_configuration.cpp
@@ -50,6 +50,12 @@
     return m_operator_rows.age(m_store_clock, now);
 }
 
+bool fleet_service::is_configuration_current(base::instant now) const
+{
+    return m_newest_configuration <= configuration_version() &&
+           m_operator_rows.is_current(m_store_clock, now);
+}
+
 // All rows of the operator are known as of that time of the store.
 void fleet_service::operator_rows_confirmed(rpc::store_instant at,
                                             base::instant now)
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -309,11 +309,12 @@
         return {statement_error::busy, "no configuration is known yet", true};
     const auto route = m_configuration->m_routes.find(who.m_database);
     if (route == m_configuration->m_routes.end())
-        return {statement_error::unknown_database, "no route has this database",
-                true};
+        return not_configured(statement_error::unknown_database,
+                              "no route has this database");
     const auto key = m_configuration->m_keys.find(who.m_key);
     if (key == m_configuration->m_keys.end() && !route->second.m_open)
-        return {statement_error::unauthenticated, "the key is not known", true};
+        return not_configured(statement_error::unauthenticated,
+                              "the key is not known");
     who.m_organisation = key == m_configuration->m_keys.end()
                              ? base::organisation_id()
                              : key->second;
@@ -328,6 +329,18 @@
     return {};
 }
 
+// A newer configuration may have it, so nothing final is said while this host
+// cannot tell whether there is one.
+session_service::admission_result
+session_service::not_configured(statement_error error, const char* text) const
+{
+    if (m_configuration_status->is_configuration_current(m_clock.now()))
+        return {error, text, true};
+    return {statement_error::busy,
+            std::string(text) + " in a configuration that may be outdated",
+            true};
+}
+
 void session_service::refuse(session& who, const rpc::opaque_statement& what,
                              const admission_result& why)
 {
--- a/unittests/entry/configuration_currency_test.cpp
+++ b/unittests/entry/configuration_currency_test.cpp
@@ -163,3 +163,90 @@
                             hosts_without(f, last).c_str());
     }
 }
+
+// A host that knew its configuration to be old told callers for good that a
+// database or a key does not exist, which a newer configuration had added.
+Test(configuration_currency, an_outdated_host_refuses_nothing_for_good)
+{
+    fleet_fixture f;
+    driver caller(f.host(0));
+    caller.start(1, "dispatch");
+    caller.start(2, "stock", "key-2");
+    cr_assert(caller.was_answered(1, "err unknown_database"));
+    cr_assert(caller.was_answered(2, "err unauthenticated"));
+    set_silent(f, true);
+    f.run(bound + absl::Seconds(1));
+    caller.start(3, "dispatch");
+    caller.start(4, "stock", "key-2");
+    caller.start(5, "stock");
+    cr_assert(caller.was_answered(3, "err busy"));
+    cr_assert(caller.was_answered(4, "err busy"));
+    cr_assert(caller.was_answered(5, "ready I"));
+    set_silent(f, false);
+    f.run(bound);
+    caller.start(6, "dispatch");
+    cr_assert(caller.was_answered(6, "err unknown_database"));
+}
+
+// A peer that reaches the store tells as of when the configuration is the
+// newest: a host that is turned away keeps giving definite answers.
+Test(configuration_currency, a_host_that_is_turned_away_hears_it_from_its_peers)
+{
+    fleet_fixture f;
+    f.host(2).m_store.m_reachable = false;
+    f.run(absl::Seconds(20));
+    driver caller(f.host(2));
+    caller.start(1, "dispatch");
+    cr_assert(caller.was_answered(1, "err unknown_database"));
+    const auto version = add_database(f, "dispatch");
+    f.run(bound);
+    cr_assert_str_empty(hosts_without(f, version).c_str());
+    caller.start(2, "dispatch");
+    cr_assert(caller.was_answered(2, "ready I"));
+}
+
+// The age must not be bought with calls of the store, each of which has a
+// price: answers that are due anyway tell that nothing has changed.
+Test(configuration_currency, nothing_is_asked_while_nothing_changes)
+{
+    for (const int hosts : {1, 3, 9, 20})
+    {
+        fleet_fixture f(hosts);
+        f.run(absl::Seconds(10));
+        std::uint64_t before = 0;
+        std::uint64_t after = 0;
+        const auto count = [&f]
+        {
+            std::uint64_t calls = 0;
+            for (auto& host : f.m_hosts)
+                calls += host->m_metrics.counter("store.calls.operator_rows")
+                             .value();
+            return calls;
+        };
+        before = count();
+        f.run(absl::Seconds(60));
+        after = count();
+        cr_expect_eq(after, before, "%d hosts", hosts);
+        for (const auto& host : f.m_hosts)
+            cr_expect_eq(
+                host->m_metrics.counter("configuration.outdated").value(), 0);
+    }
+}
+
+// Evacuations are rows of the operator as well and share the watch.
+Test(configuration_currency, an_evacuation_at_the_end_of_an_outage_is_not_late)
+{
+    for (absl::Duration outage = absl::Seconds(3); outage < absl::Seconds(11);
+         outage += absl::Milliseconds(250))
+    {
+        fleet_fixture f;
+        set_silent(f, true);
+        f.run(outage);
+        f.m_platform.evacuate("d9");
+        set_silent(f, false);
+        f.run(bound);
+        for (const auto& host : f.m_hosts)
+            cr_expect_eq(host->m_metrics.counter("evacuations.begun").value(),
+                         1, "after %ld ms", absl::ToInt64Milliseconds(outage));
+    }
+}
