Let the soak judge configurations, and bring about what broke them

The flag that it asked for was never set since the soak was added, and its bound began anew with every fault of any kind, of which some always runs.

Each operation and session is now judged by the host that it talks to: a key that was withdrawn more than 3 s ago must fail, and one that was given out more than 3 s ago must not be refused for good, at a host that has run for 4 s without trouble at the store, on a way to it, or of its own process. A refusal that says that a route does not exist is always wrong. Every 12 to 18 s all hosts lose the store for 1.5 to 7 s, the keys change at its return, and no fault of the store begins until 6.5 s later. The old check of withdrawn keys is part of the new one, with the same bound.

--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -55,9 +55,9 @@
 
     void start()
     {
-        const auto port =
-            m_world
-                .m_hosts[draw(static_cast<unsigned>(m_world.m_hosts.size()))];
+        m_host = draw(static_cast<unsigned>(m_world.m_hosts.size()));
+        const auto port = m_world.m_hosts[m_host];
+        m_verdict = m_world.m_judge_key(m_host, m_key);
         wait(patience);
         m_socket.async_connect(
             {loopback, port},
@@ -67,7 +67,7 @@
                     self->lost();
                 else
                     self->send(absl::StrCat("START ", self->m_route.m_database,
-                                            " ", self->m_owner.m_key));
+                                            " ", self->m_key));
             });
     }
 
@@ -121,7 +121,10 @@
     {
         const std::vector<std::string> words = absl::StrSplit(line, ' ');
         if (words[0] == "ERR")
+        {
             m_error = words.at(1);
+            check_refusal();
+        }
         else if (words[0] == "DONE")
             check_signature(words.at(1));
         if (words[0] != "READY")
@@ -136,6 +139,20 @@
             statement_ended();
     }
 
+    // The routes never change, and a key is refused for good only when it may
+    // have been withdrawn.
+    void check_refusal()
+    {
+        const bool must_work =
+            m_verdict == key_verdict::must_work &&
+            m_world.m_judge_key(m_host, m_key) == key_verdict::must_work;
+        if (m_error == "NODB" || (m_error == "NOAUTH" && must_work))
+            m_world.m_judge.broken("CONFIG",
+                                   absl::StrCat("h", m_host, " answered ",
+                                                m_error, " to ", m_key, " for ",
+                                                m_route.m_database));
+    }
+
     void check_signature(const std::string& signature)
     {
         if (m_statement == 0 || m_ids.empty() || signature == "-")
@@ -163,6 +180,7 @@
 
     void begin_operation()
     {
+        m_verdict = m_world.m_judge_key(m_host, m_key);
         m_operation =
             absl::StrCat("c", m_owner.m_number, "o", ++m_owner.m_operations);
         m_ids.clear();
@@ -208,9 +226,11 @@
             return;
         }
         count(&tally::m_succeeded);
-        if (m_began_expired)
+        if (m_verdict == key_verdict::must_fail)
             m_world.m_judge.broken("CONFIG",
-                                   m_operation + " ran with a withdrawn key");
+                                   absl::StrCat(m_operation, " ran at h",
+                                                m_host, " with ", m_key,
+                                                ", which was withdrawn"));
         if (m_kind != kind::read)
             acknowledge();
         operation_ended();
@@ -289,7 +309,10 @@
     caller_world& m_world;
     route m_route;
     std::string m_key;
-    bool m_began_expired = false;
+    std::size_t m_host = 0;
+    // What the host had to say to the key when the operation, or the session,
+    // began.
+    key_verdict m_verdict = key_verdict::undecided;
     tcp::socket m_socket;
     asio::steady_timer m_timer;
     asio::streambuf m_input;
--- a/test/soak/callers.hpp
+++ b/test/soak/callers.hpp
@@ -33,6 +33,15 @@
     std::size_t m_cut = 0;
 };
 
+// Whether a key was given out, or withdrawn, so long ago that a host has to
+// know.
+enum class key_verdict
+{
+    undecided,
+    must_work,
+    must_fail,
+};
+
 // What callers share.
 struct caller_world
 {
@@ -42,8 +51,9 @@
     // Ports of the hosts, through their relays.
     std::vector<unsigned short> m_hosts;
     std::vector<route> m_routes;
-    // True when the key was withdrawn so long ago that no host may take it.
-    std::function<bool(const std::string& key)> m_is_expired;
+    // What the host has to say to the key now.
+    std::function<key_verdict(std::size_t host, const std::string& key)>
+        m_judge_key;
     tally m_tally;
     bool m_stopped = false;
 };
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace magnoliastack::soak
@@ -15,6 +16,8 @@
 const char* const domains[] = {"d0", "d1", "d2"};
 // The bound of an evacuation with some time to spare.
 constexpr std::chrono::milliseconds judged_time{5500};
+// The time of contact, after which configurations are judged, and some more.
+constexpr std::chrono::milliseconds judged_after_contact{6500};
 
 std::function<void()> nothing()
 {
@@ -46,15 +49,12 @@
         auto ended = std::move(m_running[at]);
         m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(at));
         ended.m_undo();
-        m_world.disturbed();
         if (ended.m_store)
-            m_world.m_judge.store_disturbed();
+            m_world.store_disturbed();
     }
-    if (!m_running.empty())
-        m_world.disturbed();
     for (const auto& item : m_running)
         if (item.m_store)
-            m_world.m_judge.store_disturbed();
+            m_world.store_disturbed();
     change_evacuation();
     if (now < m_next || m_running.size() >= largest_overlap)
         return;
@@ -65,14 +65,17 @@
 void fault_plan::stop()
 {
     for (auto& item : std::exchange(m_running, {}))
+    {
         item.m_undo();
+        if (item.m_store)
+            m_world.store_disturbed();
+    }
     if (!m_evacuated.empty())
     {
         m_world.m_judge.evacuation_cancelled(m_evacuated);
         m_world.m_store->cancel_evacuation(m_evacuated);
         m_evacuated.clear();
     }
-    m_world.disturbed();
 }
 
 // At random moments the operator evacuates a domain and cancels the evacuation.
@@ -99,8 +102,43 @@
     m_world.m_judge.evacuated(m_evacuated);
 }
 
+// Every now and then all hosts lose the store, the keys change as it comes
+// back, and it is left in peace until hosts that still use the old ones are
+// found.
+bool fault_plan::begin_outage()
+{
+    const auto now = clock::now();
+    const bool is_store_calm = now >= m_store_quiet_until &&
+                               std::none_of(m_running.begin(), m_running.end(),
+                                            [](const running_fault& item)
+                                            {
+                                                return item.m_store;
+                                            });
+    if (now < m_next_outage || !is_store_calm)
+        return false;
+    m_next_outage = now + std::chrono::milliseconds(12'000 + draw(6000));
+    store& where = *m_world.m_store;
+    const std::size_t hosts = m_world.m_hosts.size();
+    for (std::size_t host = 0; host < hosts; ++host)
+        where.set_mood(host, store_mood::silent);
+    const auto length = std::chrono::milliseconds(1500 + draw(5500));
+    std::printf("outage of the store for %lld ms\n",
+                static_cast<long long>(length.count()));
+    const auto undo = [this, &where, hosts]
+    {
+        m_world.change_keys();
+        for (std::size_t host = 0; host < hosts; ++host)
+            where.set_mood(host, store_mood::serving);
+    };
+    m_running.push_back({"outage of the store", now + length, undo, true});
+    m_store_quiet_until = now + length + judged_after_contact;
+    return true;
+}
+
 void fault_plan::begin()
 {
+    if (begin_outage())
+        return;
     std::string name;
     std::function<void()> undo;
     const std::size_t kind = draw(kinds_of_each);
@@ -108,7 +146,8 @@
     // The last kind of a host's faults is a pause.
     const bool of_store =
         about == 1 || about == 2 || (about == 0 && kind + 1 == kinds_of_each);
-    if (of_store && clock::now() < m_store_quiet_until)
+    const auto now = clock::now();
+    if (of_store && (now < m_store_quiet_until || now >= m_next_outage))
         return;
     switch (about)
     {
@@ -133,7 +172,6 @@
                 static_cast<long long>(length.count()));
     m_running.push_back(
         {name, clock::now() + length, std::move(undo), of_store});
-    m_world.disturbed();
 }
 
 std::function<void()> fault_plan::begin_on_host(std::size_t kind,
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -35,6 +35,7 @@
 
 private:
     void begin();
+    bool begin_outage();
     void change_evacuation();
     [[nodiscard]] std::size_t draw(std::size_t below);
     [[nodiscard]] std::function<void()> begin_on_host(std::size_t kind,
@@ -52,6 +53,7 @@
     std::mt19937& m_random;
     std::vector<running_fault> m_running;
     clock::time_point m_next;
+    clock::time_point m_next_outage = clock::now();
     // The domain that is evacuated, and when that changes.
     std::string m_evacuated;
     clock::time_point m_next_evacuation;
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -162,14 +162,17 @@
                      m_random,
                      ports,
                      routes,
-                     [this](const std::string& key)
+                     [this](std::size_t host, const std::string& key)
                      {
-                         return is_expired(key);
+                         return judge_key(host, key);
                      },
                      {},
                      false});
     for (std::size_t index = 0; index < organisations; ++index)
+    {
         m_keys.push_back(absl::StrCat("secret-", index, "-1"));
+        m_issued[m_keys.back()] = clock::now();
+    }
     for (std::size_t index = 0; index < m_options.m_callers; ++index)
         m_all_callers.push_back(std::make_unique<caller>(
             *m_callers, index, organisation(index % organisations),
@@ -217,13 +220,25 @@
     write_configuration();
 }
 
-// Bounds hold for hosts that have been in touch for a while.
-bool world::is_expired(const std::string& key) const
+bool world::is_in_touch(std::size_t host) const
+{
+    const entry_host& item = m_hosts[host];
+    const auto now = clock::now();
+    return item.m_process && !item.m_ends_by &&
+           now - std::max(item.m_started, m_store_disturbed) > contact;
+}
+
+key_verdict world::judge_key(std::size_t host, const std::string& key) const
 {
-    const auto found = m_withdrawn.find(key);
+    if (!is_in_touch(host))
+        return key_verdict::undecided;
     const auto now = clock::now();
-    return found != m_withdrawn.end() &&
-           now - std::max(found->second, m_disturbed + contact) > config_bound;
+    const auto withdrawn = m_withdrawn.find(key);
+    if (withdrawn != m_withdrawn.end())
+        return now - withdrawn->second > config_bound ? key_verdict::must_fail
+                                                      : key_verdict::undecided;
+    return now - m_issued.at(key) > config_bound ? key_verdict::must_work
+                                                 : key_verdict::undecided;
 }
 
 void world::change_keys()
@@ -232,7 +247,10 @@
         m_withdrawn[key] = clock::now();
     ++m_key_generation;
     for (std::size_t index = 0; index < organisations; ++index)
+    {
         m_keys[index] = absl::StrCat("secret-", index, "-", m_key_generation);
+        m_issued[m_keys[index]] = clock::now();
+    }
     for (std::size_t index = 0; index < m_all_callers.size(); ++index)
         m_all_callers[index]->set_key(m_keys[index % organisations]);
     write_configuration();
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -83,10 +83,12 @@
     [[nodiscard]] tcp_relay& way(std::size_t host, std::size_t group,
                                  std::size_t endpoint);
 
-    // A fault begins or has ended: promises with a time bound start anew.
-    void disturbed()
+    // The store, a way to it, or a host that stands still is in trouble: bounds
+    // of configurations and evacuations start anew.
+    void store_disturbed()
     {
-        m_disturbed = clock::now();
+        m_store_disturbed = clock::now();
+        m_judge.store_disturbed();
     }
 
     asio::io_context m_loop{1};
@@ -111,10 +113,14 @@
     std::uint64_t m_key_generation = 1;
     std::uint64_t m_beats = 0;
     clock::time_point m_next_beat;
-    clock::time_point m_disturbed;
-    // When each key was withdrawn.
+    clock::time_point m_store_disturbed;
+    // When each key was given out and withdrawn.
+    std::map<std::string, clock::time_point> m_issued;
     std::map<std::string, clock::time_point> m_withdrawn;
-    [[nodiscard]] bool is_expired(const std::string& key) const;
+    // True when the host has been without trouble for the time of contact.
+    [[nodiscard]] bool is_in_touch(std::size_t host) const;
+    [[nodiscard]] key_verdict judge_key(std::size_t host,
+                                        const std::string& key) const;
 };
 
 } // namespace magnoliastack::soak
