--- a/unittests/platform/row_store_test.cpp
+++ b/unittests/platform/row_store_test.cpp
@@ -5,7 +5,9 @@
 #include "absl/strings/str_cat.h"
 
 #include <map>
+#include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -120,6 +122,85 @@
     std::size_t m_reads = 0;
 };
 
+// Answers reads of tables and no watch, at any number of connections.
+class store_without_watches
+{
+public:
+    explicit store_without_watches(asio::io_context& loop)
+        : m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    [[nodiscard]] tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+private:
+    struct connection : std::enable_shared_from_this<connection>
+    {
+        explicit connection(tcp::socket socket) : m_socket(std::move(socket))
+        {
+        }
+
+        void read()
+        {
+            m_request = {};
+            http::async_read(m_socket, m_buffer, m_request,
+                             [self = shared_from_this()](
+                                 const boost::system::error_code& error,
+                                 std::size_t /*bytes*/)
+                             {
+                                 if (!error)
+                                     self->answer();
+                             });
+        }
+
+        void answer()
+        {
+            if (m_request.target().find("/rows-feed") != std::string::npos)
+            {
+                m_socket.async_wait(
+                    tcp::socket::wait_read,
+                    [self = shared_from_this()](
+                        const boost::system::error_code& /*error*/) {});
+                return;
+            }
+            m_response = {http::status::ok, 11};
+            m_response.body() = R"({"ver":40,"now_ms":9000,"rows":[]})";
+            m_response.prepare_payload();
+            http::async_write(m_socket, m_response,
+                              [self = shared_from_this()](
+                                  const boost::system::error_code& error,
+                                  std::size_t /*bytes*/)
+                              {
+                                  if (!error)
+                                      self->read();
+                              });
+        }
+
+        tcp::socket m_socket;
+        boost::beast::flat_buffer m_buffer;
+        http::request<http::string_body> m_request;
+        http::response<http::string_body> m_response;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](const boost::system::error_code& error, tcp::socket socket)
+            {
+                if (error)
+                    return;
+                std::make_shared<connection>(std::move(socket))->read();
+                accept();
+            });
+    }
+
+    tcp::acceptor m_acceptor;
+};
+
 // Answers every request with the same rows.
 class fixed_store
 {
@@ -228,3 +309,29 @@
     cr_assert_eq(server.reads(), 3);
     cr_assert_eq(at.value(), 9001, "what changed later is not known");
 }
+
+// The rows are read anew after a return of the store while a watch may be
+// running on a connection that has gone silent.
+Test(row_store, a_whole_read_does_not_wait_behind_a_silent_watch)
+{
+    constexpr absl::Duration longest = absl::Seconds(30);
+    asio::io_context loop;
+    const store_without_watches server(loop);
+    row_store store(loop, server.address());
+    bool watch_ended = false;
+    bool read_ended = false;
+    store.watch_fleet(rpc::row_version(5), longest, longest,
+                      [&](const auto& /*result*/)
+                      {
+                          watch_ended = true;
+                      });
+    store.read_fleet(longest,
+                     [&](const auto& result)
+                     {
+                         read_ended = result.has_value();
+                         loop.stop();
+                     });
+    loop.run();
+    cr_assert(read_ended);
+    cr_assert_not(watch_ended);
+}
