--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's scripts into target/review/. Needs the
+# packages of deploy/system.toml and nothing else.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+sources=(review/standin/*.cpp)
+objects=()
+for source in "${sources[@]}"; do
+    object=target/review/$(basename "$source" .cpp).o
+    "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra \
+        -Wno-missing-field-initializers -c "$source" -o "$object" &
+    objects+=("$object")
+done
+for job in $(jobs -p); do wait "$job"; done
+"${CXX:-c++}" "${objects[@]}" -o target/review/review-standin \
+    $(pkg-config --libs absl_strings) -lpthread
