--- a/review/standin/client.hpp
+++ b/review/standin/client.h
@@ -1,9 +1,9 @@
 // A client that writes or reads, one statement after the other, with a new
 // connection after each failure. It follows the pages' wire protocol.
-#ifndef REVIEW_STANDIN_CLIENT_HPP
-#define REVIEW_STANDIN_CLIENT_HPP
+#ifndef REVIEW_STANDIN_CLIENT_H
+#define REVIEW_STANDIN_CLIENT_H
 
-#include "platform.hpp"
+#include "platform.h"
 
 namespace review
 {
@@ -27,8 +27,8 @@
         std::function<std::string(const std::string& id, char state)>;
 
     client(asio::io_context& loop, record& to, std::string name,
-           unsigned short host, std::string database, std::string key,
-           ms pause, next_text text)
+           unsigned short host, std::string database, std::string key, ms pause,
+           next_text text)
         : m_loop(loop), m_record(to), m_name(std::move(name)), m_host(host),
           m_database(std::move(database)), m_key(std::move(key)),
           m_pause(pause), m_text(std::move(text)), m_timer(loop),
@@ -60,23 +60,22 @@
         m_started = false;
         m_state = 'I';
         watch();
-        m_socket->async_connect({loopback, m_host},
-                                [this, round = m_round](error_code error)
-                                {
-                                    if (round != m_round)
-                                        return;
-                                    if (error)
-                                    {
-                                        again();
-                                        return;
-                                    }
-                                    error_code ignored;
-                                    m_socket->set_option(tcp::no_delay(true),
-                                                         ignored);
-                                    send("START " + m_database + " " + m_key +
-                                         "\r\n");
-                                    read();
-                                });
+        m_socket->async_connect(
+            {loopback, m_host},
+            [this, round = m_round](error_code error)
+            {
+                if (round != m_round)
+                    return;
+                if (error)
+                {
+                    again();
+                    return;
+                }
+                error_code ignored;
+                m_socket->set_option(tcp::no_delay(true), ignored);
+                send("START " + m_database + " " + m_key + "\r\n");
+                read();
+            });
     }
 
     void watch()
@@ -93,18 +92,17 @@
     void send(std::string bytes)
     {
         const auto held = std::make_shared<std::string>(std::move(bytes));
-        asio::async_write(*m_socket, asio::buffer(*held),
-                          [held, socket = m_socket](error_code, std::size_t)
-                          {
-                          });
+        asio::async_write(
+            *m_socket, asio::buffer(*held),
+            [held, socket = m_socket](error_code, std::size_t) {});
     }
 
     void read()
     {
         asio::async_read_until(
             *m_socket, *m_input, "\r\n",
-            [this, round = m_round, socket = m_socket, input = m_input](
-                error_code error, std::size_t count)
+            [this, round = m_round, socket = m_socket,
+             input = m_input](error_code error, std::size_t count)
             {
                 if (round != m_round)
                     return;
@@ -140,8 +138,8 @@
         }
         if (!m_waiting)
         {
-            m_record.line(m_name + " got a message while none was due: " +
-                          line);
+            m_record.line(m_name +
+                          " got a message while none was due: " + line);
             again();
             return;
         }
--- a/review/standin/late_promotion.cpp
+++ b/review/standin/late_promotion.cc
@@ -1,7 +1,7 @@
 // A machine is cut off from the platform while it replaces a primary.
-#include "scenarios.hpp"
+#include "scenarios.h"
 
-#include "world.hpp"
+#include "world.h"
 
 namespace review
 {
@@ -67,8 +67,8 @@
 
     std::vector<std::unique_ptr<client>> clients;
     std::map<std::string, double> acknowledged;
-    const auto add_client = [&](std::size_t host, const std::string& database,
-                                bool transactions)
+    const auto add_client =
+        [&](std::size_t host, const std::string& database, bool transactions)
     {
         const auto asked = std::make_shared<std::string>();
         clients.push_back(std::make_unique<client>(
@@ -104,16 +104,16 @@
         add_client(host, second, true);
     }
 
-    const bool serving = all.run(ms(15000),
-                                 [&]
-                                 {
-                                     return std::all_of(
-                                         clients.begin(), clients.end(),
-                                         [](const auto& item)
-                                         {
-                                             return item->m_succeeded > 5;
-                                         });
-                                 });
+    const bool serving =
+        all.run(ms(15000),
+                [&]
+                {
+                    return std::all_of(clients.begin(), clients.end(),
+                                       [](const auto& item)
+                                       {
+                                           return item->m_succeeded > 5;
+                                       });
+                });
     if (!serving)
     {
         log.line("the system does not serve");
@@ -123,11 +123,19 @@
 
     // Planned work: the databases' backends are replaced.
     release(all, first, "i-" + first + "-1", "i-" + first + "-4", "sohar");
-    if (!all.run(ms(12000), [&] { return first_is_done; }))
+    if (!all.run(ms(12000),
+                 [&]
+                 {
+                     return first_is_done;
+                 }))
         return could_not_run;
     release(all, second, "i-" + second + "-1", "i-" + second + "-4", "sohar");
     const auto second_released = clock::now();
-    if (!all.run(ms(12000), [&] { return claimed; }))
+    if (!all.run(ms(12000),
+                 [&]
+                 {
+                     return claimed;
+                 }))
         return could_not_run;
 
     all.run(cut_after_claim);
--- a/review/standin/line_feed.cpp
+++ b/review/standin/line_feed.cc
@@ -1,7 +1,7 @@
 // A client writes data with a line feed in it.
-#include "scenarios.hpp"
+#include "scenarios.h"
 
-#include "world.hpp"
+#include "world.h"
 
 namespace review
 {
@@ -23,8 +23,8 @@
     // What the clients sent, by id, and whether it was checked.
     std::map<std::string, std::string> sent;
     std::size_t checked = 0;
-    all.database(database).m_on_line = [&](const std::string& backend,
-                                           const std::string& line)
+    all.database(database).m_on_line =
+        [&](const std::string& backend, const std::string& line)
     {
         if (!line.starts_with("QUERY ") || line.starts_with("QUERY - "))
             return;
@@ -59,11 +59,15 @@
                });
     one.m_on_answer = [&](const client::answer& what)
     {
-        log.line("client " + what.m_id + " " +
-                 (what.m_done ? "DONE " + what.m_signature
-                              : "ERR " + what.m_error));
+        log.line(
+            "client " + what.m_id + " " +
+            (what.m_done ? "DONE " + what.m_signature : "ERR " + what.m_error));
     };
-    if (!all.run(ms(15000), [&] { return one.m_succeeded > 5; }))
+    if (!all.run(ms(15000),
+                 [&]
+                 {
+                     return one.m_succeeded > 5;
+                 }))
         return could_not_run;
     all.run(ms(4000));
     one.stop();
--- a/review/standin/main.cpp
+++ b/review/standin/main.cc
@@ -1,6 +1,6 @@
 // review-standin SCENARIO RECORD FOLDER: runs one script's scenario.
 // TROUBLE=0 in the environment leaves the disruption out.
-#include "scenarios.hpp"
+#include "scenarios.h"
 
 #include <cstdlib>
 #include <exception>
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cc
@@ -1,4 +1,4 @@
-#include "platform.hpp"
+#include "platform.h"
 
 #include <absl/strings/escaping.h>
 
@@ -127,8 +127,8 @@
     };
 
     connection(link& owner, tcp::socket client)
-        : m_owner(owner), m_client(std::move(client)), m_server(owner.m_loop),
-          m_out{&m_client, &m_server, true, {}, {}, {}},
+        : m_owner(owner), m_client(std::move(client)),
+          m_server(owner.m_loop), m_out{&m_client, &m_server, true, {}, {}, {}},
           m_back{&m_server, &m_client, false, {}, {}, {}}
     {
     }
@@ -295,14 +295,14 @@
 
 std::size_t link::open_connections() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_connections.begin(), m_connections.end(),
-        [](const auto& item)
-        {
-            const auto live = item.lock();
-            return live && live->m_open && !live->m_stopped &&
-                   !live->m_out.m_ended && !live->m_back.m_ended;
-        }));
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto& item)
+                      {
+                          const auto live = item.lock();
+                          return live && live->m_open && !live->m_stopped &&
+                                 !live->m_out.m_ended && !live->m_back.m_ended;
+                      }));
 }
 
 // --------------------------------------------------------------- the store
@@ -317,13 +317,13 @@
     void read()
     {
         m_request = {};
-        http::async_read(m_socket, m_buffer, m_request,
-                         [self = shared_from_this()](error_code error,
-                                                     std::size_t)
-                         {
-                             if (!error)
-                                 self->after(answer_time, &connection::serve);
-                         });
+        http::async_read(
+            m_socket, m_buffer, m_request,
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (!error)
+                    self->after(answer_time, &connection::serve);
+            });
     }
 
     void after(ms time, void (connection::*next)())
@@ -355,8 +355,8 @@
                 for (const auto& item : asked.at("writes"))
                 {
                     const std::string key = item.at("key");
-                    m_owner.m_on_write(
-                        key, m_owner.value(item.at("table"), key));
+                    m_owner.m_on_write(key,
+                                       m_owner.value(item.at("table"), key));
                 }
             if (applied)
                 m_owner.notify();
@@ -403,13 +403,13 @@
         m_answer.set(http::field::content_type, "application/json");
         m_answer.body() = body.dump();
         m_answer.prepare_payload();
-        http::async_write(m_socket, m_answer,
-                          [self = shared_from_this()](error_code error,
-                                                      std::size_t)
-                          {
-                              if (!error)
-                                  self->read();
-                          });
+        http::async_write(
+            m_socket, m_answer,
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (!error)
+                    self->read();
+            });
     }
 
     store& m_owner;
@@ -482,9 +482,9 @@
     return {{"rows", std::move(rows)},
             {"more_pages", false},
             {"ver", m_version},
-            {"now_ms", std::chrono::duration_cast<ms>(
-                           clock::now().time_since_epoch())
-                           .count()}};
+            {"now_ms",
+             std::chrono::duration_cast<ms>(clock::now().time_since_epoch())
+                 .count()}};
 }
 
 bool store::change(const json& asked, json& answer)
@@ -561,13 +561,13 @@
     void read()
     {
         m_request = {};
-        http::async_read(m_socket, m_buffer, m_request,
-                         [self = shared_from_this()](error_code error,
-                                                     std::size_t)
-                         {
-                             if (!error)
-                                 self->serve();
-                         });
+        http::async_read(
+            m_socket, m_buffer, m_request,
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (!error)
+                    self->serve();
+            });
     }
 
     void serve()
@@ -603,13 +603,13 @@
         m_answer.set(http::field::content_type, "application/json");
         m_answer.body() = "{}";
         m_answer.prepare_payload();
-        http::async_write(m_socket, m_answer,
-                          [self = shared_from_this()](error_code error,
-                                                      std::size_t)
-                          {
-                              if (!error)
-                                  self->read();
-                          });
+        http::async_write(
+            m_socket, m_answer,
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (!error)
+                    self->read();
+            });
         if (m_owner.m_on_call)
             m_owner.m_on_call(holder, token, group, id);
     }
@@ -676,9 +676,9 @@
                 stream.ignore(2);
                 if (self->m_owner.m_owner.m_on_line)
                     self->m_owner.m_owner.m_on_line(self->m_owner.m_id, line);
-                self->m_timer.expires_after(
-                    line.starts_with("START ") ? ms(12)
-                                               : self->m_owner.m_owner.m_work);
+                self->m_timer.expires_after(line.starts_with("START ")
+                                                ? ms(12)
+                                                : self->m_owner.m_owner.m_work);
                 self->m_timer.async_wait(
                     [self, line](error_code failed)
                     {
@@ -808,13 +808,13 @@
     void answer(std::string text)
     {
         m_output = std::move(text);
-        asio::async_write(m_socket, asio::buffer(m_output),
-                          [self = shared_from_this()](error_code error,
-                                                      std::size_t)
-                          {
-                              if (!error)
-                                  self->read();
-                          });
+        asio::async_write(
+            m_socket, asio::buffer(m_output),
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (!error)
+                    self->read();
+            });
     }
 
     backend& m_owner;
--- a/review/standin/platform.hpp
+++ b/review/standin/platform.h
@@ -1,7 +1,7 @@
 // Stand-ins for the users' platform, databases and clients, for the review's
 // scripts. Everything runs in one thread, on loopback and the real clock.
-#ifndef REVIEW_STANDIN_PLATFORM_HPP
-#define REVIEW_STANDIN_PLATFORM_HPP
+#ifndef REVIEW_STANDIN_PLATFORM_H
+#define REVIEW_STANDIN_PLATFORM_H
 
 // Boost.Asio 1.74 needs this one first.
 #include <utility>
@@ -124,8 +124,8 @@
 {
 public:
     // Carries a promotion out; false when the backend does not run.
-    using promote = std::function<bool(const std::string& service,
-                                       const std::string& id)>;
+    using promote =
+        std::function<bool(const std::string& service, const std::string& id)>;
     duty_service(asio::io_context& loop, record& to, promote what);
     [[nodiscard]] unsigned short port() const;
     std::function<void(const std::string& holder, std::uint64_t token,
--- a/review/standin/scenarios.hpp
+++ b/review/standin/scenarios.h
@@ -1,6 +1,6 @@
 // What the review's scripts run. Each returns the script's exit status.
-#ifndef REVIEW_STANDIN_SCENARIOS_HPP
-#define REVIEW_STANDIN_SCENARIOS_HPP
+#ifndef REVIEW_STANDIN_SCENARIOS_H
+#define REVIEW_STANDIN_SCENARIOS_H
 
 #include <string>
 
--- a/review/standin/world.hpp
+++ b/review/standin/world.h
@@ -1,8 +1,8 @@
 // A small deployment like Muscat's: its zones, machines, databases and bounds.
-#ifndef REVIEW_STANDIN_WORLD_HPP
-#define REVIEW_STANDIN_WORLD_HPP
+#ifndef REVIEW_STANDIN_WORLD_H
+#define REVIEW_STANDIN_WORLD_H
 
-#include "client.hpp"
+#include "client.h"
 
 namespace review
 {
