End a line at CR LF only

A row with a line feed reached callers as two messages in the same way.

Cause: line_buffer::next() ended a line at any LF and took a CR before it away if there was one. The protocol ends a message with CR LF; a CR or LF that stands alone is data. The class reads callers and endpoints, so both directions broke.

Ruled out: the parser of statements and the writer of requests keep the text as it is; forwarding between hosts carries texts as Cap'n Proto data with lengths (unit test codec/statement_keeps_every_field has CR LF and zeros in each field).

Why no test showed it: the endpoints of line_platform and of the soak, and the soak's callers, read lines with std::getline and so made the same mistake, and no caller sent anything but letters. Both read up to CR LF now; callers of the soak write random bytes and endpoints return some in each row. An endpoint that gets another text than was sent is UNASKED, another row is MIXED.

--- a/test/entry_process_test.cpp
+++ b/test/entry_process_test.cpp
@@ -1,11 +1,13 @@
 // magnolia-entry as a process, against stand-ins of the users' platform.
 #include "support/line_platform.hpp"
+#include "support/lines.hpp"
 #include "support/process.hpp"
 
 #include <utility>
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -17,6 +19,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -97,9 +100,8 @@
     stream << line << "\r\n" << std::flush;
     std::string all;
     std::string answer;
-    while (std::getline(stream, answer))
+    while (test::read_line(stream, answer))
     {
-        answer.pop_back();
         all += answer + "|";
         if (answer.starts_with("READY"))
             break;
@@ -107,6 +109,12 @@
     return all;
 }
 
+std::ptrdiff_t count(const std::vector<std::string>& lines,
+                     const std::string& line)
+{
+    return std::count(lines.begin(), lines.end(), line);
+}
+
 // Repeats a read while the host still confirms its rows after the start.
 std::string ask_until_done(tcp::iostream& stream, const std::string& line)
 {
@@ -288,15 +296,47 @@
     cr_assert_eq(ask_until_done(caller, "QUERY ab12 READ 1a4"),
                  "ROW pearl|DONE sig-1|READY I -|");
     const auto received = f.m_platform.endpoint_received();
-    cr_assert_neq(received.find("START g souq e0"), std::string::npos);
-    cr_assert_neq(received.find("QUERY ab12 READ 1a4"), std::string::npos);
-    cr_assert_eq(received.find("key-1"), std::string::npos,
-                 "an endpoint saw a caller's key");
+    cr_assert_geq(count(received, "START g souq e0"), 1);
+    cr_assert_eq(count(received, "QUERY ab12 READ 1a4"), 1);
+    for (const auto& line : received)
+        cr_assert_eq(line.find("key-1"), std::string::npos,
+                     "an endpoint saw a caller's key");
     const auto metrics = entry_fixture::get(f.m_metrics, "/metrics");
     cr_assert_neq(metrics.find("magnolia_sessions_started_total 1"),
                   std::string::npos);
 }
 
+// review/5: a line feed ended a line by itself, so an endpoint ran the rest of
+// a caller's data as a statement of its own, and a caller took the rest of a
+// row for a message.
+Test(entry_process, a_message_with_any_byte_stays_one_message)
+{
+    entry_fixture f;
+    const std::string odd =
+        "two shells\nQUERY z1 WRITE 9c9 forged\n" + test::all_bytes();
+    f.m_platform.set_row(odd);
+    const test::process host("magnolia-entry", {"--settings", f.m_settings},
+                             f.m_log);
+    cr_assert(f.wait_until_ready());
+    tcp::iostream caller("127.0.0.1", std::to_string(f.m_callers));
+    cr_assert_eq(ask(caller, "START stock key-1"), "READY I -|");
+    cr_assert_eq(ask_until_done(caller, "QUERY 1 READ a" + odd),
+                 "ROW " + odd + "|DONE sig-1|READY I -|");
+    cr_assert_eq(ask(caller, "QUERY 2 SET v " + odd), "DONE -|READY I -|");
+    cr_assert_eq(ask(caller, "QUERY 3 PREPARE s WRITE q " + odd),
+                 "DONE -|READY I -|");
+    cr_assert_eq(ask(caller, "QUERY 4 EXEC s a " + odd), "DONE -|READY I -|");
+    cr_assert_eq(ask(caller, "QUERY 5 WRITE a " + odd), "DONE -|READY I -|");
+    const auto received = f.m_platform.endpoint_received();
+    cr_assert_eq(count(received, "QUERY 1 READ a" + odd), 1);
+    cr_assert_geq(count(received, "QUERY - SET v " + odd), 1);
+    cr_assert_geq(count(received, "QUERY - PREPARE p1 WRITE q " + odd), 1);
+    cr_assert_eq(count(received, "QUERY 4 EXEC p1 a " + odd), 1);
+    cr_assert_eq(count(received, "QUERY 5 WRITE a " + odd), 1);
+    for (const auto& line : received)
+        cr_assert_not(line.starts_with("QUERY z1"));
+}
+
 // Operators of the platform saw an added route that was not served after the
 // store had come back from an older copy: its row lay below the version from
 // which the host's watch went on.
@@ -380,7 +420,7 @@
            << std::flush;
     std::string all;
     std::string line;
-    while (std::getline(caller, line))
+    while (test::read_line(caller, line))
         all += line.substr(0, line.find(' ', 4)) + "|";
     cr_assert_eq(all, "DONE|READY|ERR BUSY|READY|ERR BUSY|READY|", "%s",
                  all.c_str());
--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -1,5 +1,7 @@
 #include "callers.hpp"
 
+#include "support/lines.hpp"
+
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -102,18 +104,12 @@
         wait(patience);
         asio::async_read_until(
             m_socket, m_input, "\r\n",
-            [self = shared_from_this()](error_code error, std::size_t)
+            [self = shared_from_this()](error_code error, std::size_t size)
             {
                 if (error)
-                {
                     self->lost();
-                    return;
-                }
-                std::istream stream(&self->m_input);
-                std::string line;
-                std::getline(stream, line);
-                line.pop_back();
-                self->received(line);
+                else
+                    self->received(test::take_line(self->m_input, size));
             });
     }
 
@@ -127,6 +123,8 @@
         }
         else if (words[0] == "DONE")
             check_signature(words.at(1));
+        else if (words[0] == "ROW")
+            check_row(line.substr(line.find(' ') + 1));
         if (words[0] != "READY")
         {
             read();
@@ -162,6 +160,14 @@
                                                 signature);
     }
 
+    void check_row(const std::string& row)
+    {
+        if (m_ids.empty() || row != row_of(m_ids.back()))
+            m_world.m_judge.broken("MIXED",
+                                   "a read in " + m_operation +
+                                       " was answered with another row");
+    }
+
     void next_operation()
     {
         if (m_world.m_stopped || ++m_count > operations_in_session)
@@ -200,12 +206,15 @@
 
     void next_statement()
     {
-        const std::string& text = m_plan[m_statement++];
+        std::string text = m_plan[m_statement++];
+        if (absl::StartsWith(text, "WRITE "))
+            text += odd_data(absl::StrCat(m_operation, "/", m_statement));
         m_ids.push_back(absl::StrCat(m_operation, "x", m_statement));
         demand what;
         what.m_organisation = m_owner.m_organisation;
         what.m_group = m_route.m_group;
         what.m_operation = m_operation;
+        what.m_text = text;
         what.m_own = m_own;
         what.m_covers = clock::now() - m_route.m_staleness;
         m_world.m_judge.sent(m_ids.back(), what);
--- a/test/soak/checker.cpp
+++ b/test/soak/checker.cpp
@@ -2,9 +2,15 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <functional>
+#include <random>
+#include <string_view>
 
 namespace magnoliastack::soak
 {
+
+using namespace std::string_view_literals;
+
 namespace
 {
 
@@ -16,6 +22,9 @@
 // Nothing reaches an evacuated domain after this.
 constexpr std::chrono::seconds evacuation_bound{5};
 
+constexpr std::size_t longest_odd_data = 24;
+constexpr unsigned byte_values = 256;
+
 bool shows(const std::vector<commit_ptr>& applied, const commit_ptr& what)
 {
     return what->m_number <= applied.size() &&
@@ -24,6 +33,30 @@
 
 } // namespace
 
+std::string odd_data(const std::string& key)
+{
+    std::minstd_rand random(
+        static_cast<unsigned>(std::hash<std::string>()(key)));
+    std::string data;
+    while (data.size() < longest_odd_data)
+    {
+        // Half of the bytes are those that framing may trip over.
+        constexpr std::string_view tricky = "\r\n \0QUERY"sv;
+        const auto drawn = static_cast<unsigned>(random() % byte_values);
+        const char byte = random() % 2 == 0 ? tricky[drawn % tricky.size()]
+                                            : static_cast<char>(drawn);
+        if (byte == '\n' && data.ends_with('\r'))
+            continue;
+        data.push_back(byte);
+    }
+    return data;
+}
+
+std::string row_of(const std::string& id)
+{
+    return "r-" + id + odd_data(id);
+}
+
 void checker::evacuated(const std::string& domain)
 {
     m_silent_from[domain] = clock::now() + evacuation_bound;
@@ -62,6 +95,15 @@
     m_demands[id] = what;
 }
 
+void checker::arrived(const std::string& id, const std::string& text)
+{
+    const auto found = m_demands.find(id);
+    if (found == m_demands.end())
+        broken("UNASKED", "nobody sent statement " + id);
+    else if (found->second.m_text != text)
+        broken("UNASKED", id + " arrived with a changed text");
+}
+
 void checker::ran(const std::string& id, const std::string& organisation,
                   const std::string& group, bool reads,
                   const std::vector<commit_ptr>& applied)
--- a/test/soak/checker.hpp
+++ b/test/soak/checker.hpp
@@ -42,8 +42,16 @@
     commit_ptr m_own;
     // Statements of one operation share it.
     std::string m_operation;
+    std::string m_text;
 };
 
+// Any bytes that the protocol allows in a message's last field, drawn for the
+// key.
+std::string odd_data(const std::string& key);
+
+// The row with which endpoints answer the read.
+std::string row_of(const std::string& id);
+
 // Collects what was broken.
 class checker
 {
@@ -51,6 +59,8 @@
     // A caller is about to send the statement.
     void sent(const std::string& id, const demand& what);
 
+    // An endpoint has been sent a statement with this text.
+    void arrived(const std::string& id, const std::string& text);
     // An endpoint runs a statement on `applied`, the commits that it shows.
     void ran(const std::string& id, const std::string& organisation,
              const std::string& group, bool reads,
--- a/test/soak/database.cpp
+++ b/test/soak/database.cpp
@@ -1,5 +1,7 @@
 #include "database.hpp"
 
+#include "support/lines.hpp"
+
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -43,17 +45,14 @@
     {
         asio::async_read_until(
             m_socket, m_input, "\r\n",
-            [self = shared_from_this()](error_code error, std::size_t)
+            [self = shared_from_this()](error_code error, std::size_t size)
             {
                 if (error)
                 {
                     self->close();
                     return;
                 }
-                std::istream stream(&self->m_input);
-                std::string line;
-                std::getline(stream, line);
-                line.pop_back();
+                const std::string line = test::take_line(self->m_input, size);
                 self->m_owner.m_owner.judge().reached(self->m_owner.m_domain,
                                                       line);
                 self->m_timer.expires_after(work_time);
@@ -98,7 +97,8 @@
     {
         const std::pair<std::string, std::string> id_and_text =
             absl::StrSplit(line.substr(6), absl::MaxSplits(' ', 1));
-        const auto& [id, text] = id_and_text;
+        const auto& [id, all] = id_and_text;
+        std::string text = all;
         std::vector<std::string> words = absl::StrSplit(text, ' ');
         if (words[0] == "AFTER")
         {
@@ -107,8 +107,11 @@
                 fail("LAGGING");
                 return;
             }
+            text.erase(0, words[0].size() + words[1].size() + 2);
             words.erase(words.begin(), words.begin() + 2);
         }
+        if (id != "-")
+            m_owner.m_owner.judge().arrived(id, text);
         run(id, words);
     }
 
@@ -177,7 +180,8 @@
         if (lost_lead())
             return;
         note(id, true);
-        answer(absl::StrCat("ROW r-", id, "\r\nDONE s-", id, "\r\n", ready()));
+        answer(absl::StrCat("ROW ", row_of(id), "\r\nDONE s-", id, "\r\n",
+                            ready()));
     }
 
     void write_item(const std::string& id)
--- a/test/support/line_platform.cpp
+++ b/test/support/line_platform.cpp
@@ -1,5 +1,6 @@
 #include "line_platform.hpp"
 
+#include "lines.hpp"
 #include "process.hpp"
 
 #include "absl/strings/escaping.h"
@@ -18,6 +19,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace magnoliastack::test
 {
@@ -53,12 +55,7 @@
                               static_cast<unsigned short>(free_port())})
     {
         add_database("stock");
-        json entry = {{"service", "g"},   {"zone", "d"},          {"slots", 3},
-                      {"state", "ready"}, {"db_role", "primary"}, {"seq", 1},
-                      {"born", 1}};
-        entry["addr"] =
-            "127.0.0.1:" + std::to_string(m_endpoint.local_endpoint().port());
-        put("servers", "e0", entry.dump());
+        put("servers", "e0", entry("primary"));
         accept(m_store, &state::serve_store);
         accept(m_endpoint, &state::serve_endpoint);
         m_acceptors = std::thread(
@@ -105,6 +102,17 @@
         put("op", "config", configuration.dump());
     }
 
+    [[nodiscard]] std::string entry(const std::string& role) const
+    {
+        json fields = {
+            {"service", "g"}, {"zone", "d"},       {"slots", 3},
+            {"seq", 1},       {"state", "ready"},  {"born", 1},
+            {"version", "4"}, {"cold_left_ms", 0}, {"db_role", role}};
+        fields["addr"] =
+            "127.0.0.1:" + std::to_string(m_endpoint.local_endpoint().port());
+        return fields.dump();
+    }
+
     void come_back()
     {
         m_rows = m_copy;
@@ -228,20 +236,19 @@
         beast::error_code error;
         while (true)
         {
-            asio::read_until(socket, buffer, "\r\n", error);
+            const auto size = asio::read_until(socket, buffer, "\r\n", error);
             if (error)
                 return;
-            std::istream input(&buffer);
-            std::string line;
-            std::getline(input, line);
-            line.pop_back();
+            const std::string line = take_line(buffer, size);
+            std::string row;
             {
                 const std::lock_guard lock(m_mutex);
-                m_received += line + "\n";
+                m_received.push_back(line);
+                row = m_row;
             }
             std::string reply = "READY I 1.10\r\n";
             if (line.find(" READ ") != std::string::npos)
-                reply = "ROW pearl\r\nDONE sig-1\r\n" + reply;
+                reply = "ROW " + row + "\r\nDONE sig-1\r\n" + reply;
             else if (line.starts_with("QUERY"))
                 reply = "DONE -\r\n" + reply;
             asio::write(socket, asio::buffer(reply), error);
@@ -260,7 +267,8 @@
     std::map<std::string, std::map<std::string, json>> m_copy;
     std::uint64_t m_copied_version = 0;
     std::atomic<std::uint64_t> m_era = 1;
-    std::string m_received;
+    std::vector<std::string> m_received;
+    std::string m_row = "pearl";
 };
 
 line_platform::line_platform() : m_state(std::make_unique<state>())
@@ -298,7 +306,33 @@
         m_state->put("other", "row", "");
 }
 
-std::string line_platform::endpoint_received() const
+void line_platform::put_entry(const std::string& key, const std::string& text)
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    m_state->put("servers", key, text);
+}
+
+std::string line_platform::replica_entry() const
+{
+    return m_state->entry("replica");
+}
+
+void line_platform::set_row(const std::string& row)
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    m_state->m_row = row;
+}
+
+std::vector<std::string> line_platform::fleet_keys() const
+{
+    const std::lock_guard lock(m_state->m_mutex);
+    std::vector<std::string> keys;
+    for (const auto& [key, row] : m_state->m_rows["magnolia-fleet"])
+        keys.push_back(key);
+    return keys;
+}
+
+std::vector<std::string> line_platform::endpoint_received() const
 {
     const std::lock_guard lock(m_state->m_mutex);
     return m_state->m_received;
--- a/test/support/line_platform.hpp
+++ b/test/support/line_platform.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace magnoliastack::test
 {
@@ -32,8 +33,17 @@
     // hosts know have been given out again.
     void come_back_with_database(const std::string& name);
 
-    // All that the endpoint was sent, one line each.
-    [[nodiscard]] std::string endpoint_received() const;
+    // Writes an entry of an endpoint, or anything else, into the directory.
+    void put_entry(const std::string& key, const std::string& text);
+    // The text of an entry for the endpoint as a replica of its group.
+    [[nodiscard]] std::string replica_entry() const;
+
+    // The row with which the endpoint answers reads; `pearl` at first.
+    void set_row(const std::string& row);
+    // Keys of the rows that the hosts keep.
+    [[nodiscard]] std::vector<std::string> fleet_keys() const;
+    // All lines that the endpoint was sent.
+    [[nodiscard]] std::vector<std::string> endpoint_received() const;
 
 private:
     struct state;
--- a/unittests/platform/codec_test.cpp
+++ b/unittests/platform/codec_test.cpp
@@ -84,6 +84,26 @@
     }
 }
 
+// A line feed or a carriage return that stands alone ended the line, and the
+// rest of the data became a message of its own.
+Test(text_codec, only_both_bytes_of_a_line_end_end_a_line)
+{
+    const std::string data = "QUERY 1 WRITE a \n\nb\rc\r\r\nQUERY 2 READ \r\n";
+    for (std::size_t cut = 1; cut < data.size(); ++cut)
+    {
+        line_buffer lines;
+        std::string found;
+        for (const auto& piece : {data.substr(0, cut), data.substr(cut)})
+        {
+            lines.append(piece);
+            while (const auto line = lines.next())
+                found += std::string(*line) + "|";
+        }
+        cr_assert_eq(found, "QUERY 1 WRITE a \n\nb\rc\r|QUERY 2 READ |",
+                     "cut at %zu", cut);
+    }
+}
+
 Test(text_codec, a_line_without_end_is_noticed)
 {
     line_buffer lines;
