Bound the time at which the platform can get a promotion

Cause: a promotion has no condition of its own where the platform does not check tokens, so the sender has to bound when it can arrive. The tenure's margin (1.2 s) and the call's time limit (1 s) bound when the host stops waiting and not when the platform gets the call: - A call that timed out was closed with FIN, and the kernel goes on sending what a cut holds. A process that ends closes its connections in the same way. - All promotions shared one connection. A call that waited for others was sent up to 1 s later for each of them, without another look at the duty's end. - A host that stood still between the begin of a connection and its end sent the call when it woke up; and the time limit did not count a suspension.

A promotion now has a latest time, taken when it is decided on, by the clock that counts suspension.

Ruled out: changes of rows carry the expected versions of their rows and of the era; a step-down carries its term. Statements are not in question: one that is delivered late was answered as of unknown outcome or not at all.

Why no test showed it: the soak's relay dropped what it held when its sender closed, and connected through a cut. It delivers after a plain close now, drops at a reset, and makes a connection only when the cut has ended.

--- a/include/magnoliastack/rpc/fleet_store.hpp
+++ b/include/magnoliastack/rpc/fleet_store.hpp
@@ -3,6 +3,7 @@
 #define MAGNOLIASTACK_RPC_FLEET_STORE_HPP
 
 #include "magnoliastack/base/error.hpp"
+#include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/configuration.hpp"
 #include "magnoliastack/catalogue/endpoint_entry.hpp"
 
@@ -157,11 +158,15 @@
     virtual ~promotion_link() = default;
 
     // The value is false when the platform refused because the endpoint does
-    // not run.
+    // not run. The platform may not check tokens, so the call must not reach it
+    // after `latest`, when another holder may have promoted: it is not sent
+    // after that and given up at that time, and what is still on its way then
+    // is dropped. Errors: `unavailable` when nothing was sent or the platform
+    // refused, `deadline_exceeded` when the outcome is unknown.
     virtual void promote(const base::group_id& group,
                          const base::endpoint_id& endpoint,
                          const base::host_id& holder, fencing_token token,
-                         absl::Duration timeout,
+                         base::instant latest,
                          std::function<void(base::result<bool>)> done) = 0;
 };
 
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -282,7 +282,7 @@
                                    {"token", promote->m_token}});
             m_links.m_promotions.promote(
                 id, promote->m_endpoint, m_options.m_self, promote->m_token,
-                m_options.m_promotion.m_promote_timeout,
+                now + m_options.m_promotion.m_promote_timeout,
                 [this, id](const base::result<bool>& result)
                 {
                     const auto at = m_links.m_clock.now();
--- a/test/soak/relay.cpp
+++ b/test/soak/relay.cpp
@@ -73,8 +73,19 @@
     {
     }
 
+    // As on a cut link the connection is made when the cut ends; the client
+    // may have sent and closed by then, of which nothing arrives.
     void start()
     {
+        error_code ignored;
+        m_client.set_option(tcp::no_delay(true), ignored);
+        read(m_out);
+        look();
+    }
+
+    void connect()
+    {
+        m_connecting = true;
         m_server.async_connect({loopback, m_owner.m_server},
                                [self = shared_from_this()](error_code error)
                                {
@@ -88,11 +99,10 @@
     void connected()
     {
         error_code ignored;
-        m_client.set_option(tcp::no_delay(true), ignored);
         m_server.set_option(tcp::no_delay(true), ignored);
-        read(m_out);
+        m_connected = true;
         read(m_back);
-        look();
+        pass(m_out);
     }
 
     void read(direction& way)
@@ -104,9 +114,11 @@
             {
                 if (error)
                 {
-                    // What a cut holds is lost when its sender goes away.
+                    // What a cut holds is lost when its sender resets the
+                    // connection. After a plain close it still arrives.
                     way.m_ended = true;
-                    if (self->is_held(way) || way.m_held.empty())
+                    if (error != asio::error::eof || self->m_silent ||
+                        !self->m_connected || way.m_held.empty())
                         self->stop();
                     return;
                 }
@@ -133,8 +145,8 @@
 
     void pass(direction& way)
     {
-        if (way.m_writing || way.m_held.empty() || is_held(way) ||
-            way.m_held.front().first > clock::now())
+        if (!m_connected || way.m_writing || way.m_held.empty() ||
+            is_held(way) || way.m_held.front().first > clock::now())
             return;
         way.m_writing = true;
         asio::async_write(
@@ -165,6 +177,8 @@
                 const auto self = weak.lock();
                 if (error || !self || self->m_stopped)
                     return;
+                if (!self->m_connecting && !self->m_owner.is_cut())
+                    self->connect();
                 self->pass(self->m_out);
                 self->pass(self->m_back);
                 self->look();
@@ -193,6 +207,8 @@
     asio::steady_timer m_timer;
     direction m_out;
     direction m_back;
+    bool m_connecting = false;
+    bool m_connected = false;
     bool m_silent = false;
     bool m_stopped = false;
 };
--- a/test/soak/relay.hpp
+++ b/test/soak/relay.hpp
@@ -26,7 +26,7 @@
 // What is wrong on one way at present.
 struct link_state
 {
-    // Nothing passes; bytes wait until the cut ends.
+    // Nothing passes, no new connection either; bytes wait until the cut ends.
     bool m_cut_forward = false;
     bool m_cut_back = false;
     std::chrono::milliseconds m_delay{0};
@@ -63,6 +63,10 @@
     struct connection;
 
     void accept();
+    [[nodiscard]] bool is_cut() const
+    {
+        return m_state.m_cut_forward || m_state.m_cut_back;
+    }
 
     asio::io_context& m_loop;
     unsigned short m_server;
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -118,7 +118,7 @@
 
     void promote(const base::group_id& /*group*/,
                  const base::endpoint_id& endpoint, const base::host_id& holder,
-                 fencing_token token, absl::Duration /*timeout*/,
+                 fencing_token token, base::instant /*latest*/,
                  std::function<void(base::result<bool>)> done) override
     {
         m_platform.m_promoted.push_back({endpoint, token, holder});
