--- a/unittests/platform/row_store_test.cpp
+++ b/unittests/platform/row_store_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -38,12 +39,16 @@
     {
         for (std::size_t row = 0; row < rows; ++row)
             m_rows[absl::StrCat("i-", 10000 + row)] = entry(row);
-        m_acceptor.async_accept(m_socket,
-                                [this](const boost::system::error_code& error)
-                                {
-                                    if (!error)
-                                        read();
-                                });
+        start();
+    }
+
+    paged_store(asio::io_context& loop, const std::vector<std::string>& keys)
+        : m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          m_socket(loop)
+    {
+        for (const auto& key : keys)
+            m_rows[key] = entry(0);
+        start();
     }
 
     [[nodiscard]] tcp::endpoint address() const
@@ -56,6 +61,33 @@
     }
 
 private:
+    void start()
+    {
+        m_acceptor.async_accept(m_socket,
+                                [this](const boost::system::error_code& error)
+                                {
+                                    if (!error)
+                                        read();
+                                });
+    }
+
+    // The text of a query's value.
+    static std::string decoded(const std::string& text)
+    {
+        std::string result;
+        for (std::size_t at = 0; at < text.size(); ++at)
+        {
+            if (text[at] != '%')
+            {
+                result.push_back(text[at]);
+                continue;
+            }
+            result += absl::HexStringToBytes(text.substr(at + 1, 2));
+            at += 2;
+        }
+        return result;
+    }
+
     static std::string entry(std::size_t row)
     {
         const nlohmann::json fields = {
@@ -90,8 +122,8 @@
         const std::string first =
             from == std::string::npos
                 ? ""
-                : target.substr(from + 6,
-                                target.find('&', from + 1) - from - 6);
+                : decoded(target.substr(from + 6,
+                                        target.find('&', from + 1) - from - 6));
         nlohmann::json page = {{"ver", 40}, {"now_ms", 9000 + m_reads}};
         page["rows"] = nlohmann::json::array();
         auto row = m_rows.lower_bound(first);
@@ -310,6 +342,36 @@
     cr_assert_eq(at.value(), 9001, "what changed later is not known");
 }
 
+// A key went into the next request as it was, so that an odd one at the end of
+// a page ended the request, changed its limit or began another, and no host
+// could read the endpoints any more.
+Test(row_store,
+     a_key_with_any_byte_does_not_break_the_request_for_the_next_page)
+{
+    for (const std::string odd :
+         {"i-1 b", "i-1&limit=1", "i-1#x", "i-1%41", "i-1+b", "i-1?table=op",
+          "i-1\r\nX: y\r\n\r\nGET / HTTP/1.1", "i-1\n", "i-1\xc3\xa9"})
+    {
+        std::vector<std::string> keys = {odd, odd + " ", odd + "!", "j-1"};
+        for (std::size_t row = 0; row + 1 < largest_page; ++row)
+            keys.push_back(absl::StrCat("a-", 10000 + row));
+        asio::io_context loop;
+        paged_store server(loop, keys);
+        row_store store(loop, server.address());
+        std::size_t known = 0;
+        store.read_fleet(
+            absl::Seconds(5),
+            [&](const base::result<rpc::changes<rpc::fleet_row>>& result)
+            {
+                cr_assert(result.has_value(), "after the key %s", odd.c_str());
+                known = result->m_rows.size();
+                loop.stop();
+            });
+        loop.run();
+        cr_assert_eq(known, keys.size(), "after the key %s", odd.c_str());
+    }
+}
+
 // The rows are read anew after a return of the store while a watch may be
 // running on a connection that has gone silent.
 Test(row_store, a_whole_read_does_not_wait_behind_a_silent_watch)
