Claim no group that the configuration does not name

What callers would see: one entry of another writer with a group of its own made a host claim that group, take the duty and renew it for ever, with a write to the store each 1.5 s; the group has no endpoint that could be promoted.

Cause: replace_primary() took every group of the directory for one that needs a primary.

Evidence: fleet/a_group_that_no_configuration_names_is_not_claimed fails on the parent commit and passes now. Seen first with the real program: the store had a row for a group whose name was 60,000 bytes long.

--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -15,6 +15,10 @@
 {
     if (!is_current(now) || !is_settled(now))
         return;
+    // An entry of another writer may name any group.
+    if (group.m_promotion->is_idle() &&
+        !(m_configuration && m_configuration->m_groups.contains(id)))
+        return;
     const need why = assess(id, group, now);
     if (why == need::none && group.m_promotion->is_idle())
     {
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -56,6 +56,21 @@
                           std::string::npos);
 }
 
+// An entry of another writer may name any group. Hosts took such a group for
+// one without a primary, claimed it and renewed the duty for it for ever.
+Test(fleet, a_group_that_no_configuration_names_is_not_claimed)
+{
+    fleet_fixture f;
+    auto odd = f.m_platform.m_entries.back();
+    odd.m_id = base::endpoint_id("odd");
+    odd.m_group = base::group_id("elsewhere");
+    f.m_platform.m_entries.push_back(odd);
+    f.run(absl::Seconds(5));
+    cr_assert_not(f.m_platform.m_rows.contains("group/elsewhere"));
+    cr_assert_not(f.m_platform.m_rows.contains(magnoliastack::fleet::duty_key));
+    cr_assert(uses_primary(f, 1, 1));
+}
+
 Test(fleet, no_promotion_while_a_cut_off_host_may_use_the_old_primary)
 {
     fleet_fixture f;
