Use and pass on no entry with values out of range

What callers would see, as other operators reported it: after one odd entry of another writer the hosts that are told the directory by others follow it no more (18 hosts, the real program: a new endpoint was unknown after 20 s; they read the store themselves after 30 to 60 s only). No process ended here.

Cause: an entry was used when its fields had the right types, whatever their values. A name of 60 KB made the datagram to other hosts larger than a datagram may be, so it was never sent. Numbers beyond their range became others: 2^32 slots became 0 and 2^64-1 became -1, and a cold time of 1e300 ms an infinite one that the hosts which are told it knew as 49 days, so that the digests differed and they asked for the list each time. A key with a line end became a message to an endpoint.

Parts of the list are limited by their bytes too.

Two unit tests for the datagram's size and for entries of older hosts.

Ruled out: nesting of 30,000 levels ends no process, since the parser and the destructor of its values do not recurse; 1e400 and ports out of range were passed over before.

Entries of the fixtures in unittests/entry got the failure domain that they lacked; no assertion changed.

--- a/include/magnoliastack/catalogue/endpoint_entry.hpp
+++ b/include/magnoliastack/catalogue/endpoint_entry.hpp
@@ -2,10 +2,12 @@
 #ifndef MAGNOLIASTACK_CATALOGUE_ENDPOINT_ENTRY_HPP
 #define MAGNOLIASTACK_CATALOGUE_ENDPOINT_ENTRY_HPP
 
+#include "magnoliastack/base/error.hpp"
 #include "magnoliastack/base/ids.hpp"
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,6 +37,19 @@
     bool operator==(const endpoint_entry&) const = default;
 };
 
+// Longest id or name of an entry, in bytes, as the platform's store limits its
+// keys. Longer ones would not fit into a datagram between hosts either.
+inline constexpr std::size_t largest_entry_name = 200;
+
+// Longest time that an entry may say its endpoint stays slow; hosts tell it to
+// each other as 32 bits of milliseconds.
+inline constexpr absl::Duration largest_cold_time = absl::Hours(24 * 30);
+
+// Checks what an entry says, whoever wrote it or passed it on: names have to be
+// single words of the protocol and numbers in their ranges. The error says
+// which field is wrong.
+base::result<bool> check(const endpoint_entry& entry);
+
 // Hash of all entries, the same at every host for the same entries in the same
 // order.
 std::uint64_t digest(const std::vector<endpoint_entry>& entries);
--- a/include/magnoliastack/datagram/address.hpp
+++ b/include/magnoliastack/datagram/address.hpp
@@ -17,6 +17,9 @@
 base::result<boost::asio::ip::tcp::endpoint>
 parse_address(const std::string& text);
 
+// The address in the form that parse_address reads.
+std::string to_string(const boost::asio::ip::tcp::endpoint& address);
+
 } // namespace magnoliastack::datagram
 
 #endif
--- a/include/magnoliastack/fleet/endpoint_relay.hpp
+++ b/include/magnoliastack/fleet/endpoint_relay.hpp
@@ -19,8 +19,10 @@
 // Limits of the relay.
 struct endpoint_relay_options
 {
-    // Endpoints of one datagram, which holds 64 KB at most.
+    // Endpoints of one datagram, and bytes of their texts: a datagram holds
+    // 64 KB at most.
     std::size_t m_largest_update = 300;
+    std::size_t m_largest_texts = 32'768;
     // Datagrams of one list; a larger one is read from the store by each host.
     std::size_t m_largest_parts = 32;
     // Time between two requests of this host.
--- a/lib/datagram/address.cpp
+++ b/lib/datagram/address.cpp
@@ -23,4 +23,9 @@
     return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+std::string to_string(const boost::asio::ip::tcp::endpoint& address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 } // namespace magnoliastack::datagram
--- a/lib/fleet/endpoint_relay.cpp
+++ b/lib/fleet/endpoint_relay.cpp
@@ -5,6 +5,16 @@
 
 namespace magnoliastack::fleet
 {
+namespace
+{
+
+std::size_t size_of_texts(const catalogue::endpoint_entry& entry)
+{
+    return entry.m_id.str().size() + entry.m_group.str().size() +
+           entry.m_address.size() + entry.m_failure_domain.str().size();
+}
+
+} // namespace
 
 endpoint_relay::endpoint_relay(base::host_id self,
                                endpoint_relay_options options)
@@ -33,25 +43,30 @@
 
 std::vector<endpoint_update> endpoint_relay::updates() const
 {
-    const std::size_t size = m_options.m_largest_update;
-    const std::size_t parts = (m_endpoints.size() + size - 1) / size;
-    if (m_read_at.value() == 0 || parts > m_options.m_largest_parts)
+    if (m_read_at.value() == 0)
         return {};
     std::vector<endpoint_update> result;
-    for (std::size_t part = 0; part < parts; ++part)
+    std::size_t texts = 0;
+    for (const auto& entry : m_endpoints)
     {
-        endpoint_update& update = result.emplace_back();
-        update.m_host = m_self;
-        update.m_read_at = m_read_at;
-        update.m_part = static_cast<std::uint32_t>(part);
-        update.m_parts = static_cast<std::uint32_t>(parts);
-        const auto first =
-            m_endpoints.begin() + static_cast<std::ptrdiff_t>(part * size);
-        const std::size_t count =
-            std::min(size, m_endpoints.size() - part * size);
-        update.m_endpoints.assign(first,
-                                  first + static_cast<std::ptrdiff_t>(count));
+        const std::size_t size = size_of_texts(entry);
+        if (result.empty() ||
+            result.back().m_endpoints.size() >= m_options.m_largest_update ||
+            texts + size > m_options.m_largest_texts)
+        {
+            endpoint_update& added = result.emplace_back();
+            added.m_host = m_self;
+            added.m_read_at = m_read_at;
+            added.m_part = static_cast<std::uint32_t>(result.size() - 1);
+            texts = 0;
+        }
+        result.back().m_endpoints.push_back(entry);
+        texts += size;
     }
+    if (result.size() > m_options.m_largest_parts)
+        return {};
+    for (auto& update : result)
+        update.m_parts = static_cast<std::uint32_t>(result.size());
     return result;
 }
 
@@ -71,6 +86,12 @@
     for (auto& [index, entries] : m_partial.m_parts)
         all.insert(all.end(), entries.begin(), entries.end());
     m_partial = {};
+    // A sender of another version may pass on what this one does not use.
+    std::erase_if(all,
+                  [](const auto& entry)
+                  {
+                      return !catalogue::check(entry);
+                  });
     return all;
 }
 
--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -60,6 +60,15 @@
         kill(m_pid, number);
 }
 
+bool process::runs() const
+{
+    siginfo_t ended{};
+    return m_pid > 0 &&
+           waitid(P_PID, static_cast<id_t>(m_pid), &ended,
+                  WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           ended.si_pid == 0;
+}
+
 int process::wait_for_exit(int seconds)
 {
     const auto end =
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -34,6 +34,9 @@
     // ended it or it still runs.
     int wait_for_exit(int seconds);
 
+    // False when the process has ended, waited for or not.
+    [[nodiscard]] bool runs() const;
+
     [[nodiscard]] pid_t pid() const
     {
         return m_pid;
--- a/unittests/entry/fakes.hpp
+++ b/unittests/entry/fakes.hpp
@@ -217,6 +217,8 @@
             item.m_id = base::endpoint_id(name);
             item.m_group = group;
             item.m_address = std::string(name) + ":5";
+            // No host's own.
+            item.m_failure_domain = base::failure_domain_id("far");
             item.m_slots = 3;
             item.m_primary = item.m_id.str() == "e0";
             m_platform.m_entries.push_back(item);
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -416,6 +416,52 @@
         cr_assert_not(receiver.received(part).has_value(), "nothing is newer");
 }
 
+// One long name made the datagram larger than a datagram may be, and no host
+// that is told the endpoints got the list again.
+Test(endpoint_relay, every_part_of_a_list_with_long_names_fits_into_a_datagram)
+{
+    constexpr std::size_t largest_datagram = 65'507;
+    std::vector<catalogue::endpoint_entry> many;
+    for (int index = 0; index < 600; ++index)
+    {
+        many.push_back(endpoint(std::string(190, 'i') + std::to_string(index)));
+        many.back().m_group = base::group_id(std::string(200, 'g'));
+        many.back().m_failure_domain =
+            base::failure_domain_id(std::string(200, 'd'));
+    }
+    endpoint_relay sender(base::host_id("h0"));
+    sender.read(many, rpc::store_instant(100));
+    endpoint_relay receiver(base::host_id("h1"));
+    std::optional<std::vector<catalogue::endpoint_entry>> whole;
+    for (const auto& part : sender.updates())
+    {
+        cr_assert_leq(encode(part).size(), largest_datagram);
+        whole = receiver.received(part);
+    }
+    cr_assert(whole.has_value());
+    cr_assert(*whole == many);
+}
+
+// A host of an older version passes on what a newer one does not read.
+Test(endpoint_relay, an_entry_that_no_host_may_use_is_not_taken_from_a_peer)
+{
+    std::vector<catalogue::endpoint_entry> told = {
+        endpoint("i-1"), endpoint("i-2\r\nQUIT"), endpoint("i-3"),
+        endpoint("i-4"), endpoint("i-5")};
+    told[2].m_slots = 0;
+    told[3].m_cold_left = absl::InfiniteDuration();
+    told[4].m_group = base::group_id(std::string(60'000, 'g'));
+    endpoint_relay sender(base::host_id("h0"));
+    sender.read(told, rpc::store_instant(100));
+    endpoint_relay receiver(base::host_id("h1"));
+    std::optional<std::vector<catalogue::endpoint_entry>> whole;
+    for (const auto& part : sender.updates())
+        whole = receiver.received(part);
+    cr_assert(whole.has_value());
+    cr_assert_eq(whole->size(), 1);
+    cr_assert_eq(whole->front().m_id.str(), "i-1");
+}
+
 // Large trouble-3: hosts that had started together all told the same host of
 // the other domains in each round, and each was told nothing for most of a
 // minute.
