Wait for writes at a primary that a claim does not know

Cause: when the entry of a primary has lapsed, a claim names no primary. Hosts released nothing then: what ran at the old one was neither waited for nor cut off before the promotion.

They now wait for, and then drop, the connections to each endpoint of the group whose last entry says that it is the primary.

Evidence: fleet/no_promotion_while_a_write_runs_at_a_primary_that_is_not_listed fails without the change and passes with it.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -354,6 +354,9 @@
     void check_configuration_age(base::instant now);
     void evacuations_changed(const char* source, base::instant now);
     void follow_evacuations(base::instant now);
+    [[nodiscard]] std::vector<base::endpoint_id>
+    replaced_endpoints(const base::group_id& id,
+                       const fleet::leadership_row& claim);
     void stop_moving(const base::group_id& id, group_leadership& group,
                      base::instant now);
     void replace_primary(const base::group_id& id, group_leadership& group,
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -487,6 +487,24 @@
         });
 }
 
+// The primary before a claim. A claim that knew none replaces one whose entry
+// has lapsed, and writes may still run there.
+std::vector<base::endpoint_id>
+fleet_service::replaced_endpoints(const base::group_id& id,
+                                  const fleet::leadership_row& claim)
+{
+    if (!claim.m_primary.empty())
+        return {claim.m_primary};
+    std::vector<base::endpoint_id> result;
+    const group_state* state = m_runner->find_group(id);
+    if (state == nullptr)
+        return result;
+    for (const auto& [endpoint, known] : state->m_endpoints)
+        if (known.m_entry.m_primary)
+            result.push_back(endpoint);
+    return result;
+}
+
 // What runs at a primary that is replaced may end; after a while it is cut
 // off, so that the replacement does not wait for it.
 void fleet_service::stop_moving(const base::group_id& id,
@@ -496,13 +514,20 @@
         return;
     if (group.m_row->m_phase == leadership_phase::moving)
     {
-        const base::endpoint_id& old = group.m_row->m_primary;
-        if (m_runner->in_flight(old) > 0 &&
-            now - group.m_changed < m_options.m_stop_wait &&
-            m_runner->unreachable_for(old, now) == absl::ZeroDuration())
+        const auto replaced = replaced_endpoints(id, *group.m_row);
+        const bool has_work =
+            std::any_of(replaced.begin(), replaced.end(),
+                        [this, now](const auto& old)
+                        {
+                            return m_runner->in_flight(old) > 0 &&
+                                   m_runner->unreachable_for(old, now) ==
+                                       absl::ZeroDuration();
+                        });
+        if (has_work && now - group.m_changed < m_options.m_stop_wait)
             return;
         group.m_stopped = group.m_row->m_generation;
-        m_runner->drop_connections(old, now);
+        for (const auto& old : replaced)
+            m_runner->drop_connections(old, now);
     }
     group.m_stopped = group.m_row->m_generation;
     m_log.info("primary_released",
--- a/unittests/entry/fleet_test.cpp
+++ b/unittests/entry/fleet_test.cpp
@@ -123,6 +123,28 @@
     cr_assert_geq(f.m_platform.m_promoted.size(), 1);
 }
 
+// review/REPORT.md, suspicion (c): a claim without a known primary had nothing
+// to wait for, so a write at a primary whose entry had lapsed could be
+// acknowledged after another endpoint had been promoted.
+Test(fleet, no_promotion_while_a_write_runs_at_a_primary_that_is_not_listed)
+{
+    fleet_fixture f;
+    fake_group group;
+    driver caller(f.host(1));
+    f.m_platform.m_entries.erase(f.m_platform.m_entries.begin());
+    for (std::uint64_t step = 1; f.m_platform.m_promoted.empty(); ++step)
+    {
+        cr_assert_lt(step, 400);
+        caller.start(step, "settle");
+        caller.say(step, rpc::statement_kind::write, "WRITE a b");
+        caller.next_statement();
+        group.run(f, absl::Milliseconds(50));
+    }
+    for (const auto& [number, target] : f.host(1).m_endpoints.m_open)
+        cr_assert_neq(target.m_endpoint.str(), "e0",
+                      "writes run there during the promotion");
+}
+
 Test(fleet, promotions_of_one_holder_carry_the_same_token)
 {
     fleet_fixture f;
