Confirm a promotion by a term that is newer than all known ones

Cause: one check with two ways to it. promotion::leads() took the candidate's report for the confirmation of its promotion when its term was above that of the leadership row, or when the candidate was the old primary.

A promotion now counts as confirmed when the candidate leads a term that is newer than all terms known when it was first asked for. The platform's present primary keeps its term, so the same term counts 2.5 s after the platform's answer, when a promotion would have taken effect. A repeated call for the same endpoint is compared with what was known before the first one.

Evidence: two unit tests, one for each way, fail with the old check and pass now; two more keep the cases in which no newer term comes.

Why no test showed it: the fake group of unittests/entry lets a promotion take effect at once, so an old primary never answers between call and effect.

--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -37,6 +37,10 @@
     absl::Duration m_catch_up_wait = absl::Milliseconds(1000);
     // How long a promoted endpoint may take to lead.
     absl::Duration m_confirm_wait = absl::Seconds(4);
+    // A promotion takes effect some hundred milliseconds after the platform has
+    // answered it. A candidate that keeps its term for this long was the
+    // platform's primary before.
+    absl::Duration m_effect_wait = absl::Milliseconds(2500);
     absl::Duration m_change_timeout = absl::Milliseconds(800);
     absl::Duration m_promote_timeout = absl::Milliseconds(1000);
 };
@@ -148,8 +152,8 @@
                          base::instant now);
     void tick_publishing(const promotion_inputs& inputs, actions& out,
                          base::instant now);
-    [[nodiscard]] bool leads(const rpc::endpoint_report& report,
-                             const promotion_inputs& inputs) const;
+    void begin_attempt(const promotion_inputs& inputs);
+    [[nodiscard]] bool leads(const known_report& candidate) const;
     [[nodiscard]] bool may_take_duty(const promotion_inputs& inputs) const;
     [[nodiscard]] bool holds_duty(const promotion_inputs& inputs,
                                   absl::Duration margin) const;
@@ -184,6 +188,12 @@
     base::endpoint_id m_old;
     base::endpoint_id m_candidate;
     base::term m_term;
+    // Newest term that any endpoint has reported since the claim.
+    base::term m_newest_term;
+    // The endpoint that was asked last to lead, and the newest term that was
+    // known before: a promotion always leads to a newer one.
+    base::endpoint_id m_attempted;
+    base::term m_term_before;
     std::map<base::endpoint_id, known_report> m_reports;
     bool m_change_running = false;
     std::optional<bool> m_change_applied;
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -184,7 +184,7 @@
 {
     const auto found = m_reports.find(m_candidate);
     if (found != m_reports.end() && found->second.m_at >= m_entered &&
-        leads(found->second.m_report, inputs))
+        leads(found->second))
     {
         m_term = found->second.m_report.m_term;
         fire("confirmed", inputs, out, now);
@@ -202,13 +202,27 @@
     out.emplace_back(ask_report{m_candidate});
 }
 
-// An old primary calls itself primary too; only a newer term shows that the
-// promotion has taken effect. The present primary keeps its term.
-bool promotion::leads(const rpc::endpoint_report& report,
-                      const promotion_inputs& inputs) const
+// An old primary calls itself primary too, also after the promotion of another
+// endpoint, of which this host may know nothing: its holder was lost, or the
+// endpoint cannot be asked. Only a newer term shows that the promotion has
+// taken effect. The platform's present primary keeps its term, which is known
+// when the promotion would have taken effect.
+bool promotion::leads(const known_report& candidate) const
 {
-    return report.m_primary && (report.m_term > inputs.m_leadership->m_term ||
-                                m_candidate == m_old);
+    const rpc::endpoint_report& report = candidate.m_report;
+    if (!report.m_primary || report.m_term < m_term_before)
+        return false;
+    return report.m_term > m_term_before ||
+           candidate.m_at - m_entered >= m_options.m_effect_wait;
+}
+
+// A repeated call for the same endpoint may have taken effect the first time.
+void promotion::begin_attempt(const promotion_inputs& inputs)
+{
+    if (m_attempted == m_candidate)
+        return;
+    m_attempted = m_candidate;
+    m_term_before = std::max(m_newest_term, inputs.m_leadership->m_term);
 }
 
 void promotion::tick_publishing(const promotion_inputs& inputs, actions& out,
@@ -239,6 +253,7 @@
                                 base::instant now)
 {
     m_reports[endpoint] = {report, now};
+    m_newest_term = std::max(m_newest_term, report.m_term);
 }
 
 void promotion::promote_ended(const base::result<bool>& result,
@@ -272,6 +287,7 @@
     }
     else if (action == "send_promote")
     {
+        begin_attempt(inputs);
         m_promote_running = true;
         m_promote_result.reset();
         out.emplace_back(promote_endpoint{m_candidate, inputs.m_duty->m_token});
@@ -341,6 +357,8 @@
     row.m_holder = m_self;
     m_generation = row.m_generation;
     m_old = inputs.m_primary;
+    m_newest_term = {};
+    m_attempted = {};
     m_change_running = true;
     m_change_applied.reset();
     change_rows claim{
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -96,6 +96,29 @@
         m_promotion.report_received(endpoint, answer, m_now);
     }
 
+    // Lets time pass; the duty is renewed meanwhile.
+    void run(absl::Duration span)
+    {
+        constexpr absl::Duration pace = absl::Milliseconds(50);
+        for (absl::Duration passed; passed < span; passed += pace)
+        {
+            step(pace);
+            if (sent<change_rows>() && m_promotion.state() != "publishing")
+                apply();
+        }
+    }
+
+    // The row that another holder has left.
+    void set_row(fleet::leadership_phase phase, std::uint64_t term)
+    {
+        m_inputs.m_leadership = fleet::leadership_row();
+        m_inputs.m_leadership->m_group = base::group_id("g");
+        m_inputs.m_leadership->m_generation = 1;
+        m_inputs.m_leadership->m_phase = phase;
+        m_inputs.m_leadership->m_term = base::term(term);
+        m_inputs.m_leadership->m_primary = old_primary;
+    }
+
     // Brings the promotion to the choice of a candidate.
     void reach_choice()
     {
@@ -223,6 +246,101 @@
     cr_assert_eq(f.m_promotion.state(), "publishing");
 }
 
+// review/1: a holder was lost after its promotion of another endpoint had taken
+// effect. The next one found the old primary alone and took its report with the
+// old term for the confirmation, so hosts wrote at it beside the new primary.
+Test(promotion, the_old_primary_of_a_group_left_moving_has_to_lead_a_newer_term)
+{
+    promotion_fixture f;
+    f.set_row(fleet::leadership_phase::moving, 2);
+    f.m_inputs.m_candidates = {old_primary};
+    f.reach_choice();
+    f.report(old_primary, true, 2, 2, 366);
+    f.step(absl::Milliseconds(300));
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, old_primary);
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.step();
+    f.report(old_primary, true, 2, 2, 366);
+    f.run(absl::Milliseconds(900));
+    cr_assert_eq(f.m_promotion.state(), "confirming");
+    f.report(old_primary, true, 4, 2, 366);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+}
+
+// review/3: the row of a group that has never been promoted has term 0, so the
+// old primary's term 1 passed for a newer one after another endpoint had been
+// promoted and could not be asked.
+Test(promotion,
+     the_old_primary_has_to_lead_a_newer_term_after_an_unconfirmed_one)
+{
+    promotion_fixture f;
+    f.m_inputs.m_candidates = {first};
+    f.reach_choice();
+    f.report(first, false, 1, 1, 95);
+    f.step(absl::Milliseconds(300));
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, first);
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.run(absl::Milliseconds(4200));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    // The old primary is back, under a new id.
+    f.m_inputs.m_candidates = {second};
+    f.report(second, true, 1, 1, 97);
+    f.step(absl::Milliseconds(300));
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, second);
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.step();
+    f.report(second, true, 1, 1, 97);
+    f.run(absl::Milliseconds(900));
+    cr_assert_eq(f.m_promotion.state(), "confirming");
+    f.report(second, true, 3, 1, 97);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+}
+
+// A holder was lost between its promotion and the publishing: the platform
+// changes nothing for its present primary, which keeps its term.
+Test(promotion, the_platforms_primary_is_published_when_its_term_stays)
+{
+    promotion_fixture f;
+    f.set_row(fleet::leadership_phase::moving, 2);
+    f.reach_choice();
+    f.report(first, true, 3, 2, 366);
+    f.report(second, false, 2, 2, 366);
+    f.step();
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, first);
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.run(absl::Milliseconds(2400));
+    f.report(first, true, 3, 2, 366);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "confirming");
+    f.run(absl::Milliseconds(200));
+    f.report(first, true, 3, 2, 366);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+}
+
+// The answer to the first call was lost, so the second one changes nothing.
+Test(promotion, a_promotion_that_took_effect_unanswered_is_confirmed_at_once)
+{
+    promotion_fixture f;
+    f.set_row(fleet::leadership_phase::serving, 2);
+    f.reach_choice();
+    f.report(first, false, 2, 2, 366);
+    f.report(second, false, 2, 2, 360);
+    f.step();
+    f.m_promotion.promote_ended(
+        base::fail(base::error_code::deadline_exceeded, "no answer"), f.m_now);
+    f.step(absl::Milliseconds(1000));
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, first);
+    f.report(first, true, 3, 2, 366);
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.step();
+    f.report(first, true, 3, 2, 366);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+}
+
 // A holder that woke up late must not promote under the next holder.
 Test(promotion, nothing_is_promoted_after_the_duty_has_ended)
 {
