Promote no endpoint of an older term while its primary may be back

Two endpoints were left, in two failure domains that were cut off by turns. The one that had not seen the published primary's term was promoted as soon as it was alone; when it was cut off, the other was promoted again with its own log, so the commits that had been missing were never rolled back.

Cause: candidates were compared with each other and not with the term of the leadership row.

An endpoint of an older term now leads only 15 s after the claim. The longest cut of a failure domain that users name is 6 s, and an endpoint's entry is back within two heartbeats after it; the wait gives it twice the time.

Evidence: two unit tests fail without the check and pass with it.

Cost: a group whose primary is gone for good before any other endpoint has seen its term has no primary for 15 s instead of about 2.

Why no test showed it: no unit test, soak or stand-in had a group with one endpoint left that had not followed the present primary.

--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -41,6 +41,9 @@
     // answered it. A candidate that keeps its term for this long was the
     // platform's primary before.
     absl::Duration m_effect_wait = absl::Milliseconds(2500);
+    // An endpoint of an older term than the published primary's is promoted
+    // only this long after the claim: until then the primary may be back.
+    absl::Duration m_older_term_wait = absl::Seconds(15);
     absl::Duration m_change_timeout = absl::Milliseconds(800);
     absl::Duration m_promote_timeout = absl::Milliseconds(1000);
 };
@@ -166,7 +169,10 @@
     void ask_reports(const promotion_inputs& inputs, actions& out,
                      base::instant now);
     [[nodiscard]] std::optional<base::endpoint_id>
-    best_candidate(const promotion_inputs& inputs) const;
+    best_candidate(const promotion_inputs& inputs, base::instant now) const;
+    [[nodiscard]] bool may_lead(const base::endpoint_id& id,
+                                const promotion_inputs& inputs,
+                                base::instant now) const;
     [[nodiscard]] bool is_better(const base::endpoint_id& one,
                                  const base::endpoint_id& other,
                                  const promotion_inputs& inputs) const;
@@ -180,6 +186,7 @@
     statechart::chart m_chart;
     statechart::machine m_machine;
     base::instant m_entered;
+    base::instant m_claimed;
     base::instant m_asked;
     need m_need = need::none;
     // The old primary may go on when it is back before its release.
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -120,7 +120,10 @@
 {
     if (is_own_claim(inputs) &&
         inputs.m_leadership->m_generation == m_generation)
+    {
+        m_claimed = now;
         fire("claimed", inputs, out, now);
+    }
     else if (m_change_applied == false ||
              now - m_entered > 2 * m_options.m_change_timeout)
         fire("abandoned", inputs, out, now);
@@ -140,7 +143,7 @@
                               base::instant now)
 {
     ask_reports(inputs, out, now);
-    const auto best = best_candidate(inputs);
+    const auto best = best_candidate(inputs, now);
     if (!best)
         return;
     const bool all_known =
@@ -413,15 +416,28 @@
 }
 
 std::optional<base::endpoint_id>
-promotion::best_candidate(const promotion_inputs& inputs) const
+promotion::best_candidate(const promotion_inputs& inputs,
+                          base::instant now) const
 {
     std::optional<base::endpoint_id> best;
     for (const auto& id : inputs.m_candidates)
-        if (m_reports.contains(id) && (!best || is_better(id, *best, inputs)))
+        if (m_reports.contains(id) && may_lead(id, inputs, now) &&
+            (!best || is_better(id, *best, inputs)))
             best = id;
     return best;
 }
 
+// An endpoint that has not seen the term of the published primary lacks commits
+// that were acknowledged in it, which come back with the primary. It leads only
+// when the primary has been missing for longer than an outage lasts.
+bool promotion::may_lead(const base::endpoint_id& id,
+                         const promotion_inputs& inputs,
+                         base::instant now) const
+{
+    return m_reports.at(id).m_report.m_term >= inputs.m_leadership->m_term ||
+           now - m_claimed >= m_options.m_older_term_wait;
+}
+
 // An endpoint that is not cold goes first within a term. In a planned change
 // its log catches up; after a failure it only decides between equal logs, since
 // a shorter log loses commits.
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -246,6 +246,39 @@
     cr_assert_eq(f.m_promotion.state(), "publishing");
 }
 
+// review/4: an endpoint that had not seen the published primary's term was
+// promoted as soon as it was the only one that answered. Reads there lacked
+// commits that were acknowledged in that term and came back with its primary.
+Test(promotion, an_endpoint_of_an_older_term_leads_only_after_a_long_absence)
+{
+    promotion_fixture f;
+    f.set_row(fleet::leadership_phase::serving, 3);
+    f.m_inputs.m_candidates = {first};
+    f.reach_choice();
+    for (int second_of_wait = 0; second_of_wait < 14; ++second_of_wait)
+    {
+        f.report(first, true, 2, 2, 366);
+        f.run(absl::Seconds(1));
+        cr_assert_eq(f.m_promotion.state(), "choosing");
+    }
+    f.report(first, true, 2, 2, 366);
+    f.run(absl::Seconds(2));
+    cr_assert_eq(f.m_promotion.state(), "promoting");
+}
+
+Test(promotion, an_endpoint_of_the_published_term_goes_before_a_longer_wait)
+{
+    promotion_fixture f;
+    f.set_row(fleet::leadership_phase::serving, 3);
+    f.reach_choice();
+    f.report(first, true, 2, 2, 366);
+    f.run(absl::Seconds(1));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    f.report(second, false, 3, 3, 12);
+    f.step(absl::Milliseconds(300));
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, second);
+}
+
 // review/1: a holder was lost after its promotion of another endpoint had taken
 // effect. The next one found the old primary alone and took its report with the
 // old term for the confirmation, so hosts wrote at it beside the new primary.
