Pass a large configuration on in parts

Cause: the store turned a domain's hosts away while the configuration grew from 72 to 1,409 routes. The host knew from its peers' reports at 11.5 s that there was a version 31 and asked for it; a configuration above 60,000 bytes was not passed on, without a line in log or counters. It got the next version at 23.4 s.

What is still too large is counted (configurations.too_large).

The unit test configuration_currency/a_large_one_reaches_a_host_that_is_turned_away fails with the limit and passes now, with 3 and with 20 hosts; one test for the parts.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -3,6 +3,7 @@
 #define MAGNOLIASTACK_ENTRY_FLEET_SERVICE_HPP
 
 #include "magnoliastack/entry/statement_runner.hpp"
+#include "magnoliastack/fleet/configuration_relay.hpp"
 #include "magnoliastack/fleet/endpoint_relay.hpp"
 #include "magnoliastack/fleet/evacuations.hpp"
 #include "magnoliastack/fleet/member_relay.hpp"
@@ -53,9 +54,6 @@
     // Groups of one report, besides those whose leadership changes or whose
     // primary does not answer. It bounds a report to some 1,200 bytes.
     std::size_t m_told_groups = 24;
-    // A configuration goes to a peer in one datagram of at most so many bytes;
-    // hosts read a larger one from the store.
-    std::size_t m_largest_configuration = 60000;
     // Time between two requests for a configuration.
     absl::Duration m_configuration_interval = absl::Milliseconds(300);
     // Reports carry a leadership row for this long after its change.
@@ -415,6 +413,7 @@
     [[nodiscard]] base::configuration_version configuration_version() const;
     void ask_configuration(const fleet::host_report& report, base::instant now);
     void send_configuration(const fleet::configuration_request& request);
+    void take_configuration(fleet::configuration_part part, base::instant now);
     void take_report(fleet::host_report report, base::instant now);
     void take_request(const fleet::token_transfer& request, base::instant now);
     void take_grant(const fleet::token_transfer& grant, base::instant now);
@@ -476,6 +475,7 @@
     // A peer has told of a leadership row that this host lacks.
     bool m_row_missing = false;
     fleet::endpoint_relay m_endpoints;
+    fleet::configuration_relay m_configurations;
     fleet::evacuations m_evacuations;
     // Since when each evacuation has been in force here.
     std::map<base::failure_domain_id, base::instant> m_evacuated_since;
--- a/include/magnoliastack/fleet/report.hpp
+++ b/include/magnoliastack/fleet/report.hpp
@@ -149,14 +149,27 @@
     rpc::configuration_ptr m_configuration;
 };
 
+// Part of an encoded configuration_update that is too large for one datagram.
+struct configuration_part
+{
+    base::host_id m_host;
+    base::configuration_version m_version;
+    // Which part it is, counted from 0, and how many there are.
+    std::uint32_t m_part = 0;
+    std::uint32_t m_parts = 0;
+    std::string m_bytes;
+};
+
 using datagram =
     std::variant<host_report, token_request, token_grant, member_update,
                  endpoint_request, endpoint_update, configuration_request,
-                 configuration_update, token_return>;
+                 configuration_update, token_return, configuration_part>;
 
 std::string encode(const datagram& what);
 // `corrupt` when the bytes are no datagram.
 base::result<datagram> decode(std::string_view bytes);
+// The same for what came in parts and may be larger than a datagram.
+base::result<datagram> decode_joined(std::string_view bytes);
 
 } // namespace magnoliastack::fleet
 
--- a/lib/entry/fleet_configuration.cpp
+++ b/lib/entry/fleet_configuration.cpp
@@ -37,12 +37,22 @@
     const fleet::member* to = m_members.find(request.m_host);
     if (to == nullptr || !m_configuration)
         return;
-    const std::string bytes =
-        fleet::encode(fleet::configuration_update{m_configuration});
-    if (bytes.size() > m_options.m_largest_configuration)
+    const auto datagrams = m_configurations.datagrams(m_configuration);
+    m_links.m_metrics
+        .counter(datagrams.empty() ? "configurations.too_large"
+                                   : "configurations.passed_on")
+        .add();
+    for (const auto& bytes : datagrams)
+        m_links.m_datagrams.send(to->m_row.m_address, bytes);
+}
+
+void fleet_service::take_configuration(fleet::configuration_part part,
+                                       base::instant now)
+{
+    if (part.m_version <= configuration_version())
         return;
-    m_links.m_metrics.counter("configurations.passed_on").add();
-    m_links.m_datagrams.send(to->m_row.m_address, bytes);
+    if (auto whole = m_configurations.received(std::move(part)))
+        m_links.m_events.configuration_told(std::move(whole), now);
 }
 
 absl::Duration fleet_service::configuration_age(base::instant now) const
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -247,6 +247,8 @@
     else if (const auto* told =
                  std::get_if<fleet::configuration_update>(&*what))
         m_links.m_events.configuration_told(told->m_configuration, now);
+    else if (auto* part = std::get_if<fleet::configuration_part>(&*what))
+        take_configuration(std::move(*part), now);
 }
 
 void fleet_service::take_report(fleet::host_report report, base::instant now)
--- /dev/null
+++ b/lib/fleet/configuration_relay.cpp
@@ -0,0 +1,55 @@
+#include "magnoliastack/fleet/configuration_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace magnoliastack::fleet
+{
+
+configuration_relay::configuration_relay(base::host_id self,
+                                         configuration_relay_options options)
+    : m_self(std::move(self)), m_options(options)
+{
+}
+
+std::vector<std::string> configuration_relay::datagrams(
+    const rpc::configuration_ptr& configuration) const
+{
+    const std::string whole = encode(configuration_update{configuration});
+    const std::size_t size = m_options.m_largest_part;
+    if (whole.size() <= size)
+        return {whole};
+    const std::size_t parts = (whole.size() + size - 1) / size;
+    if (parts > m_options.m_largest_parts)
+        return {};
+    std::vector<std::string> result;
+    for (std::size_t part = 0; part < parts; ++part)
+        result.push_back(encode(configuration_part{
+            m_self, configuration->m_version, static_cast<std::uint32_t>(part),
+            static_cast<std::uint32_t>(parts),
+            whole.substr(part * size, size)}));
+    return result;
+}
+
+rpc::configuration_ptr configuration_relay::received(configuration_part part)
+{
+    if (part.m_part >= part.m_parts || part.m_parts > m_options.m_largest_parts)
+        return nullptr;
+    if (part.m_host != m_from || part.m_version != m_version)
+        m_parts.clear();
+    m_from = part.m_host;
+    m_version = part.m_version;
+    m_parts[part.m_part] = std::move(part.m_bytes);
+    if (m_parts.size() < part.m_parts)
+        return nullptr;
+    std::string whole;
+    for (const auto& [number, bytes] : std::exchange(m_parts, {}))
+        whole += bytes;
+    const auto joined = decode_joined(whole);
+    const auto* update =
+        joined ? std::get_if<configuration_update>(&*joined) : nullptr;
+    return update == nullptr ? nullptr : update->m_configuration;
+}
+
+} // namespace magnoliastack::fleet
--- a/lib/fleet/report.cpp
+++ b/lib/fleet/report.cpp
@@ -20,6 +20,8 @@
 
 // A datagram holds far less; more means a damaged or hostile one.
 constexpr std::uint64_t traversal_limit_words = 1U << 16;
+// The same for a configuration that came in parts.
+constexpr std::uint64_t largest_configuration_words = 1U << 19;
 constexpr double milli = 1000;
 
 void write_group(wire::GroupReport::Builder to, const group_report& from)
@@ -280,6 +282,29 @@
     return to;
 }
 
+void write(wire::ConfigurationPart::Builder to, const configuration_part& from)
+{
+    to.setHost(from.m_host.str());
+    to.setVersion(from.m_version.value());
+    to.setPart(from.m_part);
+    to.setParts(from.m_parts);
+    to.setBytes({reinterpret_cast<const kj::byte*>(from.m_bytes.data()),
+                 from.m_bytes.size()});
+}
+
+configuration_part read(wire::ConfigurationPart::Reader from)
+{
+    configuration_part to;
+    to.m_host = base::host_id(text(from.getHost()));
+    to.m_version = base::configuration_version(from.getVersion());
+    to.m_part = from.getPart();
+    to.m_parts = from.getParts();
+    const auto bytes = from.getBytes();
+    to.m_bytes.assign(reinterpret_cast<const char*>(bytes.begin()),
+                      bytes.size());
+    return to;
+}
+
 } // namespace
 
 std::string encode(const datagram& what)
@@ -304,13 +329,18 @@
         root.initConfigurationRequest().setHost(wish->m_host.str());
     else if (const auto* told = std::get_if<configuration_update>(&what))
         write_configuration(root.initConfiguration(), *told->m_configuration);
+    else if (const auto* part = std::get_if<configuration_part>(&what))
+        write(root.initConfigurationPart(), *part);
     kj::VectorOutputStream out;
     capnp::writePackedMessage(out, message);
     const auto bytes = out.getArray();
     return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
-base::result<datagram> decode(std::string_view bytes)
+namespace
+{
+
+base::result<datagram> decode(std::string_view bytes, std::uint64_t limit)
 {
     datagram result;
     // Cap'n Proto reports damaged input by exceptions; they end here.
@@ -321,7 +351,7 @@
                 {reinterpret_cast<const kj::byte*>(bytes.data()),
                  bytes.size()});
             capnp::ReaderOptions limits;
-            limits.traversalLimitInWords = traversal_limit_words;
+            limits.traversalLimitInWords = limit;
             capnp::PackedMessageReader message(in, limits);
             const auto root = message.getRoot<wire::Datagram>();
             if (root.isTokenRequest())
@@ -340,6 +370,8 @@
             else if (root.isConfigurationRequest())
                 result = configuration_request{base::host_id(
                     text(root.getConfigurationRequest().getHost()))};
+            else if (root.isConfigurationPart())
+                result = read(root.getConfigurationPart());
             else if (root.isConfiguration())
                 result = configuration_update{
                     std::make_shared<const catalogue::configuration>(
@@ -353,4 +385,16 @@
     return result;
 }
 
+} // namespace
+
+base::result<datagram> decode(std::string_view bytes)
+{
+    return decode(bytes, traversal_limit_words);
+}
+
+base::result<datagram> decode_joined(std::string_view bytes)
+{
+    return decode(bytes, largest_configuration_words);
+}
+
 } // namespace magnoliastack::fleet
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -32,9 +32,21 @@
     configurationRequest @6 :ConfigurationRequest;
     configuration @7 :Configuration;
     tokenReturn @8 :Tokens;
+    configurationPart @9 :ConfigurationPart;
   }
 }
 
+# Part of a datagram with a configuration that is too large for one.
+struct ConfigurationPart {
+  # The sender, and the configuration's version.
+  host @0 :Text;
+  version @1 :UInt64;
+  # Which part it is, counted from 0, and how many there are.
+  part @2 :UInt32;
+  parts @3 :UInt32;
+  bytes @4 :Data;
+}
+
 # Asks the receiver for the endpoints that it has read.
 struct EndpointRequest {
   host @0 :Text;
--- a/unittests/entry/configuration_currency_test.cpp
+++ b/unittests/entry/configuration_currency_test.cpp
@@ -200,6 +200,38 @@
     cr_assert(caller.was_answered(2, "ready I"));
 }
 
+// Tatra trouble-1: a configuration of 1,400 routes did not fit into a datagram,
+// so a host that the store turned away went on with the one before for 16 s.
+Test(configuration_currency, a_large_one_reaches_a_host_that_is_turned_away)
+{
+    constexpr std::size_t largest_datagram = 65'507;
+    for (const int hosts : {3, 20})
+    {
+        fleet_fixture f(hosts);
+        f.host(2).m_store.m_reachable = false;
+        f.run(absl::Seconds(20));
+        auto changed = std::make_shared<catalogue::configuration>(
+            *f.m_platform.m_configuration);
+        changed->m_version = base::configuration_version(9);
+        for (int route = 0; route < 1400; ++route)
+        {
+            auto& added =
+                changed->m_routes["database-" + std::to_string(route)];
+            added = fleet_fixture::route(catalogue::consistency::bounded);
+            added.m_id = base::route_id("route-" + std::to_string(route));
+        }
+        f.m_platform.configure(changed);
+        for (absl::Duration passed; passed < bound; passed += step)
+        {
+            for (const auto& host : f.m_hosts)
+                for (const auto& [to, bytes] : host->m_datagrams.m_sent)
+                    cr_assert_leq(bytes.size(), largest_datagram);
+            f.run(step);
+        }
+        expect_version(f, 9, absl::ZeroDuration());
+    }
+}
+
 // The age must not be bought with calls of the store, each of which has a
 // price: answers that are due anyway tell that nothing has changed.
 Test(configuration_currency, nothing_is_asked_while_nothing_changes)
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -1,3 +1,4 @@
+#include "magnoliastack/fleet/configuration_relay.hpp"
 #include "magnoliastack/fleet/endpoint_relay.hpp"
 #include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
@@ -442,6 +443,44 @@
     cr_assert(*whole == many);
 }
 
+Test(configuration_relay, a_large_configuration_arrives_whole_or_not_at_all)
+{
+    auto large = std::make_shared<catalogue::configuration>();
+    large->m_version = base::configuration_version(7);
+    for (int route = 0; route < 3000; ++route)
+        large->m_routes["database-" + std::to_string(route)].m_group =
+            base::group_id("g");
+    const configuration_relay sender(base::host_id("h0"));
+    const auto datagrams = sender.datagrams(large);
+    cr_assert_gt(datagrams.size(), 2);
+    configuration_relay receiver(base::host_id("h1"));
+    const auto part = [&datagrams](std::size_t index)
+    {
+        return std::get<configuration_part>(*decode(datagrams[index]));
+    };
+    cr_assert_null(receiver.received(part(1)).get());
+    // A part of another version begins anew.
+    auto other = part(0);
+    other.m_version = base::configuration_version(8);
+    cr_assert_null(receiver.received(other).get());
+    rpc::configuration_ptr whole;
+    for (std::size_t index = datagrams.size(); index > 0; --index)
+    {
+        cr_assert_null(whole.get());
+        whole = receiver.received(part(index - 1));
+    }
+    cr_assert_not_null(whole.get());
+    cr_assert_eq(whole->m_routes.size(), large->m_routes.size());
+    cr_assert_eq(whole->m_version.value(), 7);
+    // Parts of one sender that do not fit together are no configuration.
+    for (std::size_t index = 0; index < datagrams.size(); ++index)
+    {
+        auto damaged = part(index);
+        damaged.m_bytes.resize(100);
+        cr_assert_null(receiver.received(damaged).get());
+    }
+}
+
 // A host of an older version passes on what a newer one does not read.
 Test(endpoint_relay, an_entry_that_no_host_may_use_is_not_taken_from_a_peer)
 {
