Confirm a published primary at once when nobody else was promoted

A group whose primary answers again during its replacement stayed without one for 2.5 s, and longer where the holder was lost meanwhile.

Cause: the platform changes nothing for its present primary, and each case of the same term waited for the time in which another promotion would show.

When the group was claimed from a published row and no other endpoint was asked since, nobody can have promoted another one, so the published primary is confirmed at once as before.

--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -40,7 +40,7 @@
     // A promotion takes effect some hundred milliseconds after the platform has
     // answered it. A candidate that keeps its term for this long was the
     // platform's primary before.
-    absl::Duration m_effect_wait = absl::Milliseconds(2500);
+    absl::Duration m_effect_wait = absl::Milliseconds(1500);
     // An endpoint of an older term than the published primary's is promoted
     // only this long after the claim: until then the primary may be back.
     absl::Duration m_older_term_wait = absl::Seconds(15);
@@ -157,6 +157,7 @@
                          base::instant now);
     void begin_attempt(const promotion_inputs& inputs);
     [[nodiscard]] bool leads(const known_report& candidate) const;
+    [[nodiscard]] bool is_present_primary() const;
     [[nodiscard]] bool may_take_duty(const promotion_inputs& inputs) const;
     [[nodiscard]] bool holds_duty(const promotion_inputs& inputs,
                                   absl::Duration margin) const;
@@ -189,6 +190,9 @@
     base::instant m_claimed;
     base::instant m_asked;
     need m_need = need::none;
+    // Another holder has claimed the group before and may have a promotion
+    // under way.
+    bool m_left_moving = false;
     // The old primary may go on when it is back before its release.
     bool m_may_reinstate = false;
     std::uint64_t m_generation = 0;
@@ -201,6 +205,8 @@
     // known before: a promotion always leads to a newer one.
     base::endpoint_id m_attempted;
     base::term m_term_before;
+    // Another endpoint than that one was asked before.
+    bool m_attempted_other = false;
     std::map<base::endpoint_id, known_report> m_reports;
     bool m_change_running = false;
     std::optional<bool> m_change_applied;
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -106,11 +106,9 @@
         m_change_running || !may_take_duty(inputs))
         return;
     m_need = inputs.m_need;
-    // A group that was left moving may have a promotion under way.
-    m_may_reinstate =
-        m_need == need::failed &&
-        !(inputs.m_leadership &&
-          inputs.m_leadership->m_phase == fleet::leadership_phase::moving);
+    m_left_moving = inputs.m_leadership && inputs.m_leadership->m_phase ==
+                                               fleet::leadership_phase::moving;
+    m_may_reinstate = m_need == need::failed && !m_left_moving;
     fire("needed", inputs, out, now);
 }
 
@@ -208,22 +206,29 @@
 // An old primary calls itself primary too, also after the promotion of another
 // endpoint, of which this host may know nothing: its holder was lost, or the
 // endpoint cannot be asked. Only a newer term shows that the promotion has
-// taken effect. The platform's present primary keeps its term, which is known
-// when the promotion would have taken effect.
+// taken effect. The platform's present primary keeps its term.
 bool promotion::leads(const known_report& candidate) const
 {
     const rpc::endpoint_report& report = candidate.m_report;
     if (!report.m_primary || report.m_term < m_term_before)
         return false;
-    return report.m_term > m_term_before ||
+    return report.m_term > m_term_before || is_present_primary() ||
            candidate.m_at - m_entered >= m_options.m_effect_wait;
 }
 
+// True when nobody can have promoted another endpoint than the candidate since
+// it was published.
+bool promotion::is_present_primary() const
+{
+    return m_candidate == m_old && !m_left_moving && !m_attempted_other;
+}
+
 // A repeated call for the same endpoint may have taken effect the first time.
 void promotion::begin_attempt(const promotion_inputs& inputs)
 {
     if (m_attempted == m_candidate)
         return;
+    m_attempted_other = !m_attempted.empty();
     m_attempted = m_candidate;
     m_term_before = std::max(m_newest_term, inputs.m_leadership->m_term);
 }
@@ -362,6 +367,7 @@
     m_old = inputs.m_primary;
     m_newest_term = {};
     m_attempted = {};
+    m_attempted_other = false;
     m_change_running = true;
     m_change_applied.reset();
     change_rows claim{
