Keep the parts of a configuration, and ask nobody else while they come

Cause: a host encoded the whole configuration for each host that asked, and a host that was receiving parts asked the next peer after 300 ms, so the same parts came from several.

--- a/lib/entry/fleet_configuration.cpp
+++ b/lib/entry/fleet_configuration.cpp
@@ -20,6 +20,7 @@
                                       base::instant now)
 {
     if (report.m_configuration <= configuration_version() ||
+        m_configurations.is_receiving(now) ||
         (!m_homes.is_large_fleet() && now - m_newest_configuration_at <
                                           m_options.m_configuration_interval) ||
         (m_configuration_asked &&
@@ -37,7 +38,7 @@
     const fleet::member* to = m_members.find(request.m_host);
     if (to == nullptr || !m_configuration)
         return;
-    const auto datagrams = m_configurations.datagrams(m_configuration);
+    const auto& datagrams = m_configurations.datagrams(m_configuration);
     m_links.m_metrics
         .counter(datagrams.empty() ? "configurations.too_large"
                                    : "configurations.passed_on")
@@ -51,7 +52,7 @@
 {
     if (part.m_version <= configuration_version())
         return;
-    if (auto whole = m_configurations.received(std::move(part)))
+    if (auto whole = m_configurations.received(std::move(part), now))
         m_links.m_events.configuration_told(std::move(whole), now);
 }
 
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -16,8 +16,7 @@
       m_members(m_options.m_self, m_options.m_incarnation, m_options.m_members),
       m_operator_rows(m_options.m_configuration),
       m_all_rows(m_options.m_currency), m_endpoints(m_options.m_self),
-      m_configurations(m_options.m_self),
-      m_evacuations(m_options.m_evacuation)
+      m_configurations(m_options.m_self), m_evacuations(m_options.m_evacuation)
 {
 }
 
--- a/lib/fleet/configuration_relay.cpp
+++ b/lib/fleet/configuration_relay.cpp
@@ -13,26 +13,35 @@
 {
 }
 
-std::vector<std::string> configuration_relay::datagrams(
-    const rpc::configuration_ptr& configuration) const
+const std::vector<std::string>&
+configuration_relay::datagrams(const rpc::configuration_ptr& configuration)
 {
+    if (m_encoded == configuration)
+        return m_datagrams;
+    m_encoded = configuration;
+    m_datagrams.clear();
     const std::string whole = encode(configuration_update{configuration});
     const std::size_t size = m_options.m_largest_part;
-    if (whole.size() <= size)
-        return {whole};
     const std::size_t parts = (whole.size() + size - 1) / size;
-    if (parts > m_options.m_largest_parts)
-        return {};
-    std::vector<std::string> result;
-    for (std::size_t part = 0; part < parts; ++part)
-        result.push_back(encode(configuration_part{
-            m_self, configuration->m_version, static_cast<std::uint32_t>(part),
-            static_cast<std::uint32_t>(parts),
-            whole.substr(part * size, size)}));
-    return result;
+    if (parts == 1)
+        m_datagrams.push_back(whole);
+    else if (parts <= m_options.m_largest_parts)
+        for (std::size_t part = 0; part < parts; ++part)
+            m_datagrams.push_back(
+                encode(configuration_part{m_self, configuration->m_version,
+                                          static_cast<std::uint32_t>(part),
+                                          static_cast<std::uint32_t>(parts),
+                                          whole.substr(part * size, size)}));
+    return m_datagrams;
 }
 
-rpc::configuration_ptr configuration_relay::received(configuration_part part)
+bool configuration_relay::is_receiving(base::instant now) const
+{
+    return !m_parts.empty() && now - m_received < m_options.m_part_wait;
+}
+
+rpc::configuration_ptr configuration_relay::received(configuration_part part,
+                                                     base::instant now)
 {
     if (part.m_part >= part.m_parts || part.m_parts > m_options.m_largest_parts)
         return nullptr;
@@ -40,6 +49,7 @@
         m_parts.clear();
     m_from = part.m_host;
     m_version = part.m_version;
+    m_received = now;
     m_parts[part.m_part] = std::move(part.m_bytes);
     if (m_parts.size() < part.m_parts)
         return nullptr;
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -450,7 +450,7 @@
     for (int route = 0; route < 3000; ++route)
         large->m_routes["database-" + std::to_string(route)].m_group =
             base::group_id("g");
-    const configuration_relay sender(base::host_id("h0"));
+    configuration_relay sender(base::host_id("h0"));
     const auto datagrams = sender.datagrams(large);
     cr_assert_gt(datagrams.size(), 2);
     configuration_relay receiver(base::host_id("h1"));
@@ -458,16 +458,18 @@
     {
         return std::get<configuration_part>(*decode(datagrams[index]));
     };
-    cr_assert_null(receiver.received(part(1)).get());
+    cr_assert_null(receiver.received(part(1), at(0)).get());
     // A part of another version begins anew.
     auto other = part(0);
     other.m_version = base::configuration_version(8);
-    cr_assert_null(receiver.received(other).get());
+    cr_assert_null(receiver.received(other, at(0)).get());
+    cr_assert(receiver.is_receiving(at(400)), "nobody else is to be asked");
+    cr_assert_not(receiver.is_receiving(at(600)), "the others are lost");
     rpc::configuration_ptr whole;
     for (std::size_t index = datagrams.size(); index > 0; --index)
     {
         cr_assert_null(whole.get());
-        whole = receiver.received(part(index - 1));
+        whole = receiver.received(part(index - 1), at(0));
     }
     cr_assert_not_null(whole.get());
     cr_assert_eq(whole->m_routes.size(), large->m_routes.size());
@@ -477,7 +479,7 @@
     {
         auto damaged = part(index);
         damaged.m_bytes.resize(100);
-        cr_assert_null(receiver.received(damaged).get());
+        cr_assert_null(receiver.received(damaged, at(0)).get());
     }
 }
 
