Confirm a primary at once that its claim did not know

Its logs: a group whose primary's entry had lapsed was claimed without a primary; the primary was back and chosen at 12.56 s and had to wait to be confirmed, its holder was frozen meanwhile, and the next one published it at 20.55 s.

The term decides and not whether the claim named the endpoint: nobody else can have been promoted when the group was not left moving and nobody else was asked.

--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -157,7 +157,7 @@
                          base::instant now);
     void begin_attempt(const promotion_inputs& inputs);
     [[nodiscard]] bool leads(const known_report& candidate) const;
-    [[nodiscard]] bool is_present_primary() const;
+    [[nodiscard]] bool is_only_candidate() const;
     [[nodiscard]] bool may_take_duty(const promotion_inputs& inputs) const;
     [[nodiscard]] bool holds_duty(const promotion_inputs& inputs,
                                   absl::Duration margin) const;
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -212,15 +212,15 @@
     const rpc::endpoint_report& report = candidate.m_report;
     if (!report.m_primary || report.m_term < m_term_before)
         return false;
-    return report.m_term > m_term_before || is_present_primary() ||
+    return report.m_term > m_term_before || is_only_candidate() ||
            candidate.m_at - m_entered >= m_options.m_effect_wait;
 }
 
 // True when nobody can have promoted another endpoint than the candidate since
-// it was published.
-bool promotion::is_present_primary() const
+// the row was published, or ever.
+bool promotion::is_only_candidate() const
 {
-    return m_candidate == m_old && !m_left_moving && !m_attempted_other;
+    return !m_left_moving && !m_attempted_other;
 }
 
 // A repeated call for the same endpoint may have taken effect the first time.
--- a/unittests/handover/promotion_test.cpp
+++ b/unittests/handover/promotion_test.cpp
@@ -348,6 +348,26 @@
     cr_assert_eq(f.m_promotion.state(), "publishing");
 }
 
+// Muscat trouble-3: the entry of a primary had lapsed when its group was
+// claimed, so the claim named none; the group waited for nothing when it was
+// back.
+Test(promotion,
+     a_first_primary_that_the_claim_did_not_know_is_confirmed_at_once)
+{
+    promotion_fixture f;
+    f.m_inputs.m_primary = {};
+    f.reach_choice();
+    f.report(first, true, 1, 1, 366);
+    f.report(second, false, 1, 1, 366);
+    f.step();
+    cr_assert_eq(f.sent<promote_endpoint>()->m_endpoint, first);
+    f.m_promotion.promote_ended(true, f.m_now);
+    f.step();
+    f.report(first, true, 1, 1, 366);
+    f.step();
+    cr_assert_eq(f.m_promotion.state(), "publishing");
+}
+
 // A holder was lost between its promotion and the publishing: the platform
 // changes nothing for its present primary, which keeps its term.
 Test(promotion, the_platforms_primary_is_published_when_its_term_stays)
