--- a/review/standin-2/stage.cpp
+++ b/review/standin-2/stage.cpp
@@ -1466,6 +1466,49 @@
     return all.all_run() ? 0 : 2;
 }
 
+// A replica is to be replaced and drains; it goes on receiving and counts
+// toward sync_replicas. The other one receives nothing for 6 s, and the primary
+// crashes meanwhile (`release`, `replica_lag` with "deaf crash").
+int draining_replica(deployment& all, bool trouble)
+{
+    service& db = all.m_service;
+    db.m_sync_replicas = 1;
+    all.configure();
+    all.start_hosts();
+    all.run_for(milliseconds(6000));
+    all.start_clients();
+    all.run_for(milliseconds(8000));
+    record("served before the disruption: " +
+           std::to_string(client::s_succeeded));
+    if (client::s_succeeded < 100)
+        return 2;
+    backend& primary = db.primary();
+    backend& draining = *db.m_backends[1];
+    backend& deaf = *db.m_backends[2];
+    record(draining.m_id + " reports that it is draining");
+    draining.m_draining = true;
+    db.publish(draining);
+    all.run_for(milliseconds(1000));
+    if (trouble)
+    {
+        record(deaf.m_id + " receives nothing from now on");
+        deaf.m_deaf = true;
+    }
+    all.run_for(milliseconds(2500));
+    if (trouble)
+        primary.crash();
+    // The draining backend serves for 7 s after its report.
+    all.run_for(milliseconds(3500));
+    deaf.m_deaf = false;
+    record("served in all: " + std::to_string(client::s_succeeded) +
+           ", promotions: " + std::to_string(db.m_promotions));
+    if (!db.m_broken.empty())
+        return 1;
+    if (trouble && db.m_promotions == 0)
+        record("nobody was promoted while the replica was draining");
+    return all.all_run() ? 0 : 2;
+}
+
 // A session that writes, reads or waits when told to.
 struct scripted : std::enable_shared_from_this<scripted>
 {
@@ -1645,6 +1688,8 @@
     int code = 2;
     if (scenario == "sync-replica")
         code = stage::sync_replica(all, trouble);
+    else if (scenario == "draining-replica")
+        code = stage::draining_replica(all, trouble);
     else if (scenario == "moved-route")
         code = stage::moved_route(all, trouble);
     stage::record("exit code " + std::to_string(code));
