--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-${CXX:-g++} -std=c++20 -O1 -Wall -Wextra review/standin-2/stage.cpp \
+${CXX:-g++} -std=c++20 -O1 -Wall -Wextra review/standin-2/stage.cc \
     -o target/review-2/stage -pthread
