Read the number of synchronous replicas of a group

The configuration's sync_replicas was parsed by nobody, so no decision could go by it. It is now part of catalogue::group and of the configuration that hosts pass on to each other. A part of a replica counts as a whole one and a negative number as none: the stronger promise holds when the text is odd.

No decision uses it yet; the promotions that do follow one by one.

--- a/include/magnoliastack/catalogue/configuration.hpp
+++ b/include/magnoliastack/catalogue/configuration.hpp
@@ -70,6 +70,9 @@
     // Requests a second that all hosts together may send to a cold endpoint; 0
     // for no limit.
     double m_cold_rate = 0;
+    // Replicas that have received a commit before it is acknowledged; 0 when
+    // it is acknowledged by the primary alone.
+    std::uint32_t m_sync_replicas = 0;
 };
 
 // One version of the declarations.
--- a/lib/fleet/configuration_codec.cpp
+++ b/lib/fleet/configuration_codec.cpp
@@ -96,6 +96,7 @@
         item.setId(id.str());
         item.setMaxConnections(group.m_max_connections);
         item.setColdRate(group.m_cold_rate);
+        item.setSyncReplicas(group.m_sync_replicas);
     }
     auto routes = to.initRoutes(static_cast<unsigned>(from.m_routes.size()));
     index = 0;
@@ -134,7 +135,8 @@
     for (const auto item : from.getGroups())
     {
         const base::group_id id(text(item.getId()));
-        to.m_groups[id] = {id, item.getMaxConnections(), item.getColdRate()};
+        to.m_groups[id] = {id, item.getMaxConnections(), item.getColdRate(),
+                           item.getSyncReplicas()};
     }
     for (const auto item : from.getRoutes())
         to.m_routes[text(item.getDatabase())] = read_route(item);
--- a/proto/magnoliastack/fleet.capnp
+++ b/proto/magnoliastack/fleet.capnp
@@ -97,6 +97,8 @@
   maxConnections @1 :UInt32;
   # Requests a second to a cold endpoint; 0 for no limit.
   coldRate @2 :Float64;
+  # Replicas that have received a commit before it is acknowledged.
+  syncReplicas @3 :UInt32;
 }
 
 struct Route {
--- a/unittests/fleet/fleet_state_test.cpp
+++ b/unittests/fleet/fleet_state_test.cpp
@@ -77,6 +77,7 @@
     route.m_priority = 2;
     route.m_home_regions = {base::region_id("n"), base::region_id("s")};
     result->m_groups[group].m_cold_rate = 20;
+    result->m_groups[group].m_sync_replicas = 1;
     const base::organisation_id who("souq");
     result->m_keys["key-1"] = who;
     result->m_organisations[who] = {who, 12.5, 30};
@@ -158,6 +159,7 @@
               std::set<base::region_id>{base::region_id("s")});
     cr_assert_float_eq(told.m_groups.at(base::group_id("g")).m_cold_rate, 20,
                        1e-9);
+    cr_assert_eq(told.m_groups.at(base::group_id("g")).m_sync_replicas, 1);
 }
 
 Test(report, endpoints_arrive_as_they_were_sent)
--- a/unittests/platform/codec_test.cpp
+++ b/unittests/platform/codec_test.cpp
@@ -112,6 +112,25 @@
     cr_assert(lines.is_too_long());
 }
 
+// A number of synchronous replicas that is lost on the way would let a replica
+// be promoted that lacks acknowledged commits.
+Test(documents, synchronous_replicas_are_decoded)
+{
+    const auto parsed = parse_configuration(
+        R"({"version":7,"routes":[],"services":[{"name":"g",)"
+        R"("sync_replicas":1},{"name":"none"},{"name":"below",)"
+        R"("sync_replicas":-2},{"name":"part","sync_replicas":0.5}]})");
+    cr_assert(parsed.has_value());
+    const auto count = [&parsed](const char* name)
+    {
+        return parsed->m_groups.at(base::group_id(name)).m_sync_replicas;
+    };
+    cr_assert_eq(count("g"), 1);
+    cr_assert_eq(count("none"), 0);
+    cr_assert_eq(count("below"), 0);
+    cr_assert_eq(count("part"), 1);
+}
+
 Test(documents, a_configuration_is_decoded)
 {
     const auto parsed = parse_configuration(
