Wait for every replica that may hold an acknowledged commit

Cause: tick_choosing took the best of the reports that were there after m_report_wait (250 ms), whoever was missing. The replica with the commits refused STATUS as busy, since all reads had gone to it, and a refused, late or missing report counted as a log without commits.

For a group with synchronous replicas the candidate now has to be known to hold every acknowledged commit (handover/commit_evidence): it is the primary of the published term or a newer one, or has all of that primary's reported log, or no replica that has not reported could hold a commit alone. Only reports that were asked for after the last host had released the old primary count. The old primary is asked too: it has all commits when it is back. Until then the group waits without limit, logs promotion_waits_for_reports with the endpoints, and counts promotions.waiting; refused reports count as endpoints.reports_refused. An operator who gives up on the missing endpoint sets sync_replicas to 0.

Groups without synchronous replicas choose as before, in the same code.

Ruled out: a report that is only late; the record shows BUSY answers from 18.440 s on and the promotion that lost commits 250 ms after the first report.

Why no test of ours showed it: the fake group, the soak's endpoints and all sheets have no synchronous replicas, and a fake report was never refused.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -75,6 +75,8 @@
     // A leadership row that the endpoints' entries contradict for this long is
     // wrong. An entry that is not renewed lapses sooner.
     absl::Duration m_contradicted_for = absl::Milliseconds(5000);
+    // Endpoints that a promotion waits for are logged this often.
+    absl::Duration m_awaited_line_interval = absl::Seconds(5);
     // What still runs in an evacuated failure domain is logged this often.
     absl::Duration m_evacuation_line_interval = absl::Seconds(1);
     fleet::evacuation_options m_evacuation;
@@ -296,6 +298,10 @@
         std::unique_ptr<handover::promotion> m_promotion;
         // Since when a replacement has been needed.
         std::optional<base::instant> m_needed_since;
+        // Since when the promotion has waited for reports of endpoints that may
+        // hold acknowledged commits, and when that is logged next.
+        std::optional<base::instant> m_awaits_since;
+        base::instant m_next_awaited_line;
         // When the group was in a report last, and the log point then.
         base::instant m_told;
         base::instant m_told_point;
@@ -372,6 +378,11 @@
     promotion_candidates(const group_leadership& group,
                          const base::endpoint_id& primary,
                          base::instant now) const;
+    [[nodiscard]] handover::commit_holders
+    holders_of(const base::group_id& id, const group_leadership& group,
+               base::instant now) const;
+    void tell_awaited(const base::group_id& id, group_leadership& group,
+                      base::instant now);
     [[nodiscard]] handover::promotion_inputs inputs(const base::group_id& id,
                                                     group_leadership& group,
                                                     handover::need why,
--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -5,6 +5,7 @@
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/fleet/rows.hpp"
 #include "magnoliastack/handover/assessment.hpp"
+#include "magnoliastack/handover/commit_evidence.hpp"
 #include "magnoliastack/rpc/fleet_store.hpp"
 #include "magnoliastack/rpc/opaque_statement.hpp"
 #include "magnoliastack/statechart/chart.hpp"
@@ -95,6 +96,9 @@
     std::vector<base::endpoint_id> m_candidates;
     // Those of them that are slow after their start.
     std::set<base::endpoint_id> m_cold;
+    // Who may hold acknowledged commits; without synchronous replicas only
+    // m_candidates counts.
+    commit_holders m_holders;
     // Bounds of the store's time now.
     rpc::store_instant m_store_earliest;
     rpc::store_instant m_store_latest;
@@ -117,8 +121,10 @@
                                        base::instant now);
     void change_ended(const base::result<rpc::change_outcome>& result,
                       base::instant now);
+    // `asked` is when the request for the report was made.
     void report_received(const base::endpoint_id& endpoint,
-                         const rpc::endpoint_report& report, base::instant now);
+                         const rpc::endpoint_report& report,
+                         base::instant asked, base::instant now);
     // The value is false when the endpoint does not run.
     void promote_ended(const base::result<bool>& result, base::instant now);
 
@@ -127,6 +133,13 @@
     {
         return m_machine.state();
     }
+    // Endpoints whose reports the choice of a candidate waits for because they
+    // may hold acknowledged commits that no known log has; empty when it waits
+    // for none.
+    [[nodiscard]] const std::vector<base::endpoint_id>& awaited() const
+    {
+        return m_awaited;
+    }
 
 private:
     using actions = std::vector<promotion_action>;
@@ -134,6 +147,7 @@
     struct known_report
     {
         rpc::endpoint_report m_report;
+        base::instant m_asked;
         base::instant m_at;
     };
 
@@ -149,6 +163,10 @@
                    base::instant now);
     void tick_choosing(const promotion_inputs& inputs, actions& out,
                        base::instant now);
+    [[nodiscard]] std::optional<base::endpoint_id>
+    choose_candidate(const promotion_inputs& inputs, base::instant now) const;
+    [[nodiscard]] std::optional<base::endpoint_id>
+    choose_holder(const promotion_inputs& inputs, base::instant now);
     void tick_promoting(const promotion_inputs& inputs, actions& out,
                         base::instant now);
     void tick_confirming(const promotion_inputs& inputs, actions& out,
@@ -171,14 +189,14 @@
                      base::instant now);
     [[nodiscard]] std::optional<base::endpoint_id>
     best_candidate(const promotion_inputs& inputs, base::instant now) const;
+    [[nodiscard]] endpoint_reports reports_since_release() const;
     [[nodiscard]] bool may_lead(const base::endpoint_id& id,
                                 const promotion_inputs& inputs,
                                 base::instant now) const;
     [[nodiscard]] bool is_better(const base::endpoint_id& one,
                                  const base::endpoint_id& other,
                                  const promotion_inputs& inputs) const;
-    [[nodiscard]] bool has_caught_up(const base::endpoint_id& candidate,
-                                     const promotion_inputs& inputs) const;
+    [[nodiscard]] bool has_caught_up(const base::endpoint_id& candidate) const;
 
     base::group_id m_group;
     base::host_id m_self;
@@ -188,6 +206,8 @@
     statechart::machine m_machine;
     base::instant m_entered;
     base::instant m_claimed;
+    // When the last host had released the old primary.
+    base::instant m_released;
     base::instant m_asked;
     need m_need = need::none;
     // Another holder has claimed the group before and may have a promotion
@@ -208,6 +228,7 @@
     // Another endpoint than that one was asked before.
     bool m_attempted_other = false;
     std::map<base::endpoint_id, known_report> m_reports;
+    std::vector<base::endpoint_id> m_awaited;
     bool m_change_running = false;
     std::optional<bool> m_change_applied;
     bool m_promote_running = false;
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -1,7 +1,10 @@
 // The host's part in replacing a primary.
 #include "magnoliastack/entry/fleet_service.hpp"
 
+#include "absl/strings/str_join.h"
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace magnoliastack::entry
@@ -34,6 +37,7 @@
                                  {"to", group.m_promotion->state()},
                                  {"primary", given.m_primary},
                                  {"candidates", given.m_candidates.size()}});
+    tell_awaited(id, group, now);
     carry_out(id, group, actions, now);
 }
 
@@ -153,6 +157,64 @@
     return candidates.empty() ? evacuated : candidates;
 }
 
+// Every listed endpoint of the group.
+handover::commit_holders
+fleet_service::holders_of(const base::group_id& id,
+                          const group_leadership& group,
+                          base::instant now) const
+{
+    handover::commit_holders holders;
+    if (m_configuration == nullptr)
+        return holders;
+    const auto configured = m_configuration->m_groups.find(id);
+    if (configured == m_configuration->m_groups.end() ||
+        configured->second.m_sync_replicas == 0)
+        return holders;
+    holders.m_sync_replicas = configured->second.m_sync_replicas;
+    for (const auto& entry : group.m_entries)
+    {
+        if (entry.m_leaving ||
+            m_evacuations.is_evacuated(entry.m_failure_domain))
+            continue;
+        const bool avoided =
+            m_runner->unreachable_for(entry.m_id, now) > absl::ZeroDuration();
+        holders.m_listed.push_back(
+            {entry.m_id, avoided, m_runner->is_cold(entry.m_id, now)});
+    }
+    return holders;
+}
+
+// Says which endpoints a group without a primary waits for, at first and then
+// from time to time.
+void fleet_service::tell_awaited(const base::group_id& id,
+                                 group_leadership& group, base::instant now)
+{
+    const auto& awaited = group.m_promotion->awaited();
+    if (awaited.empty())
+    {
+        group.m_awaits_since.reset();
+        return;
+    }
+    if (!group.m_awaits_since)
+    {
+        group.m_awaits_since = now;
+        group.m_next_awaited_line = now;
+        m_links.m_metrics.counter("promotions.waiting").add();
+    }
+    if (now < group.m_next_awaited_line)
+        return;
+    group.m_next_awaited_line = now + m_options.m_awaited_line_interval;
+    m_log.warning(
+        "promotion_waits_for_reports",
+        {{"group", id},
+         {"endpoints", absl::StrJoin(awaited, ",",
+                                     [](std::string* out, const auto& endpoint)
+                                     {
+                                         out->append(endpoint.str());
+                                     })},
+         {"for", now - *group.m_awaits_since}});
+}
+
 handover::promotion_inputs fleet_service::inputs(const base::group_id& id,
                                                  group_leadership& group,
                                                  need why, base::instant now)
@@ -185,6 +247,7 @@
     for (const auto& id : given.m_candidates)
         if (m_runner->is_cold(id, now))
             given.m_cold.insert(id);
+    given.m_holders = holders_of(id, group, now);
     given.m_store_earliest =
         m_store_clock.earliest(now).value_or(rpc::store_instant());
     given.m_store_latest =
@@ -262,8 +325,8 @@
         {
             m_runner->request_report(
                 ask->m_endpoint,
-                [this, id,
-                 endpoint = ask->m_endpoint](const rpc::endpoint_report& report)
+                [this, id, endpoint = ask->m_endpoint,
+                 now](const rpc::endpoint_report& report)
                 {
                     const auto at = m_links.m_clock.now();
                     m_log.info("endpoint_report",
@@ -272,7 +335,8 @@
                                 {"term", report.m_term},
                                 {"position", report.m_received.m_position}});
                     group_leadership& known = find(id);
-                    known.m_promotion->report_received(endpoint, report, at);
+                    known.m_promotion->report_received(endpoint, report, now,
+                                                       at);
                     replace_primary(id, known, at);
                 },
                 now);
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -214,6 +214,13 @@
     const bool failed = on.m_failure.has_value();
     if (answered.m_what == awaited::report)
     {
+        if (failed)
+        {
+            m_metrics.counter("endpoints.reports_refused").add();
+            m_log.info("report_refused",
+                       {{"endpoint", on.m_endpoint},
+                        {"reason", to_string(*on.m_failure)}});
+        }
         on.m_failure.reset();
         on.m_control = false;
         m_controls.erase(on.m_number);
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -478,6 +478,11 @@
 void statement_runner::request_report(const base::endpoint_id& endpoint,
                                       report_callback done, base::instant now)
 {
+    // One connection at a time tries an endpoint that does not answer.
+    endpoint_state* state = find_endpoint(endpoint);
+    if (state != nullptr && state->m_health != endpoint_health::serving &&
+        state->m_pool.opening() > 0)
+        return;
     endpoint_request request;
     request.m_action = endpoint_request::action::status;
     send_control(endpoint, {request, std::move(done)}, now);
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -141,9 +141,23 @@
                               base::instant now)
 {
     ask_reports(inputs, out, now);
+    const auto best = inputs.m_holders.m_sync_replicas > 0
+                          ? choose_holder(inputs, now)
+                          : choose_candidate(inputs, now);
+    if (!best || !holds_duty(inputs, m_options.m_tenure_margin))
+        return;
+    m_candidate = *best;
+    m_awaited.clear();
+    fire("chosen", inputs, out, now);
+}
+
+std::optional<base::endpoint_id>
+promotion::choose_candidate(const promotion_inputs& inputs,
+                            base::instant now) const
+{
     const auto best = best_candidate(inputs, now);
     if (!best)
-        return;
+        return std::nullopt;
     const bool all_known =
         std::all_of(inputs.m_candidates.begin(), inputs.m_candidates.end(),
                     [this](const base::endpoint_id& id)
@@ -151,14 +165,49 @@
                         return m_reports.contains(id);
                     });
     if (!all_known && now - m_entered < m_options.m_report_wait)
-        return;
-    if (m_need == need::planned && !has_caught_up(*best, inputs) &&
+        return std::nullopt;
+    if (m_need == need::planned && !has_caught_up(*best) &&
         now - m_entered < m_options.m_catch_up_wait)
-        return;
-    if (!holds_duty(inputs, m_options.m_tenure_margin))
-        return;
-    m_candidate = *best;
-    fire("chosen", inputs, out, now);
+        return std::nullopt;
+    return best;
+}
+
+// The best of the endpoints that hold every acknowledged commit. While none is
+// known to, the group waits, however long.
+std::optional<base::endpoint_id>
+promotion::choose_holder(const promotion_inputs& inputs, base::instant now)
+{
+    const absl::Duration passed = now - m_entered;
+    const endpoint_reports reports = reports_since_release();
+    const commit_evidence evidence(inputs.m_holders, reports, m_old,
+                                   inputs.m_leadership->m_term);
+    if (!evidence.missing().empty() && passed < m_options.m_report_wait)
+        return std::nullopt;
+    const bool may_catch_up =
+        m_need == need::planned && passed < m_options.m_catch_up_wait;
+    const commit_holder* best = nullptr;
+    for (const auto& holder : inputs.m_holders.m_listed)
+    {
+        const base::endpoint_id& id = holder.m_endpoint;
+        if (!evidence.holds_all(id) || !may_lead(id, inputs, now) ||
+            (may_catch_up && (id == m_old || !has_caught_up(id))))
+            continue;
+        if (best == nullptr || evidence.is_better(holder, *best))
+            best = &holder;
+    }
+    if (best != nullptr)
+        return best->m_endpoint;
+    m_awaited = evidence.missing();
+    return std::nullopt;
+}
+
+endpoint_reports promotion::reports_since_release() const
+{
+    endpoint_reports result;
+    for (const auto& [id, known] : m_reports)
+        if (known.m_asked >= m_released)
+            result.emplace(id, known.m_report);
+    return result;
 }
 
 void promotion::tick_promoting(const promotion_inputs& inputs, actions& out,
@@ -258,9 +307,9 @@
 
 void promotion::report_received(const base::endpoint_id& endpoint,
                                 const rpc::endpoint_report& report,
-                                base::instant now)
+                                base::instant asked, base::instant now)
 {
-    m_reports[endpoint] = {report, now};
+    m_reports[endpoint] = {report, asked, now};
     m_newest_term = std::max(m_newest_term, report.m_term);
 }
 
@@ -278,6 +327,9 @@
     MAGNOLIASTACK_INVARIANT(taken.has_value(),
                             "the promotion chart allows the event");
     m_entered = now;
+    m_awaited.clear();
+    if (event == std::string_view("released"))
+        m_released = now;
     for (const auto& action : *taken)
         act(action, inputs, out, now);
 }
@@ -412,13 +464,19 @@
     if (now - m_asked < m_options.m_ask_interval)
         return;
     m_asked = now;
+    std::set<base::endpoint_id> asked(inputs.m_candidates.begin(),
+                                      inputs.m_candidates.end());
+    // Endpoints that are no candidates may hold acknowledged commits too.
+    if (inputs.m_holders.m_sync_replicas > 0)
+        for (const auto& holder : inputs.m_holders.m_listed)
+            asked.insert(holder.m_endpoint);
+    if (m_need == need::planned && !m_old.empty())
+        asked.insert(m_old);
     // Once nobody writes, one report of each is enough.
-    for (const auto& id : inputs.m_candidates)
+    for (const auto& id : asked)
         if (!m_reports.contains(id) || !inputs.m_released ||
             m_need == need::planned)
             out.emplace_back(ask_report{id});
-    if (m_need == need::planned && !m_old.empty())
-        out.emplace_back(ask_report{m_old});
 }
 
 std::optional<base::endpoint_id>
@@ -463,8 +521,7 @@
     return is_ahead(first, second);
 }
 
-bool promotion::has_caught_up(const base::endpoint_id& candidate,
-                              const promotion_inputs& /*inputs*/) const
+bool promotion::has_caught_up(const base::endpoint_id& candidate) const
 {
     const auto old = m_reports.find(m_old);
     if (old == m_reports.end())
--- a/unittests/entry/failover.hpp
+++ b/unittests/entry/failover.hpp
@@ -4,6 +4,7 @@
 
 #include "driver.hpp"
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -31,18 +32,27 @@
     std::string m_primary = "e0";
     std::uint64_t m_term = 1;
     std::set<std::string> m_crashed;
+    // No slot of theirs is free: they refuse to report.
+    std::set<std::string> m_busy;
+    // What they have received of the log.
+    std::map<std::string, std::uint64_t> m_received{
+        {"e0", 95}, {"e1", 95}, {"e2", 90}};
     // Until then the endpoints renew no entry.
     base::instant m_quiet_until;
 
     // The primary's process ends: connections to it are refused.
     void crash_primary(fleet_fixture& f)
     {
-        m_crashed.insert(m_primary);
+        crash(f, m_primary);
+    }
+    void crash(fleet_fixture& f, const std::string& name)
+    {
+        m_crashed.insert(name);
         for (auto& host : f.m_hosts)
         {
             const auto open = host->m_endpoints.m_open;
             for (const auto& [number, target] : open)
-                if (target.m_endpoint.str() == m_primary)
+                if (target.m_endpoint.str() == name)
                     host->m_host.endpoints().connection_closed(number, true);
         }
     }
@@ -100,10 +110,17 @@
         while (const auto request = endpoints.next())
         {
             const auto name = endpoints.endpoint_of(*request);
+            if (request->m_request.m_action ==
+                    rpc::endpoint_request::action::status &&
+                m_busy.contains(name))
+            {
+                endpoints.fail(*request, rpc::statement_error::busy);
+                continue;
+            }
             rpc::endpoint_report report;
             report.m_primary = name == m_primary;
             report.m_term = base::term(m_term);
-            report.m_received = point(1, name == "e1" ? 95 : 90);
+            report.m_received = point(1, m_received[name]);
             host.m_host.endpoints().report_received(request->m_connection,
                                                     report);
             endpoints.succeed(*request, rpc::transaction_state::idle,
--- /dev/null
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -0,0 +1,206 @@
+// Groups whose commits wait for a synchronous replica. In all of these tests
+// the primary e0 and the replica e1 have the last acknowledged commits, and e2
+// has received nothing for a while.
+#include "failover.hpp"
+
+#include "magnoliastack/fleet/rows.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace entry_test;
+namespace fleet = magnoliastack::fleet;
+
+namespace
+{
+
+const base::group_id group_name("g");
+
+struct sync_world
+{
+    fleet_fixture m_fleet;
+    fake_group m_group;
+
+    sync_world()
+    {
+        set_sync_replicas(1);
+        run(absl::Seconds(1));
+        // Each host has a connection by which it notices a crash.
+        for (std::size_t host = 0; host < m_fleet.m_hosts.size(); ++host)
+            uses_primary(m_fleet, host, 1);
+    }
+
+    void set_sync_replicas(std::uint32_t count)
+    {
+        auto changed = std::make_shared<catalogue::configuration>(
+            *m_fleet.m_platform.m_configuration);
+        changed->m_version =
+            base::configuration_version(changed->m_version.value() + 1);
+        changed->m_groups[group_name].m_sync_replicas = count;
+        m_fleet.m_platform.configure(changed);
+    }
+
+    void run(absl::Duration span)
+    {
+        m_group.run(m_fleet, span);
+    }
+    void crash_primary()
+    {
+        m_group.crash_primary(m_fleet);
+    }
+
+    catalogue::endpoint_entry& entry(const std::string& name)
+    {
+        return *std::find_if(m_fleet.m_platform.m_entries.begin(),
+                             m_fleet.m_platform.m_entries.end(),
+                             [&name](const auto& item)
+                             {
+                                 return item.m_id.str() == name;
+                             });
+    }
+    catalogue::endpoint_entry take_entry(const std::string& name)
+    {
+        const catalogue::endpoint_entry taken = entry(name);
+        std::erase(m_fleet.m_platform.m_entries, taken);
+        return taken;
+    }
+
+    // The endpoint that was promoted first; empty when none was.
+    std::string promoted() const
+    {
+        const auto& asked = m_fleet.m_platform.m_promoted;
+        return asked.empty() ? "" : asked.front().m_endpoint.str();
+    }
+    std::size_t promotions() const
+    {
+        return m_fleet.m_platform.m_promoted.size();
+    }
+
+    // The host that has the group's claim; none while nobody does.
+    std::optional<std::size_t> holder()
+    {
+        const auto found =
+            m_fleet.m_platform.m_rows.find(fleet::leadership_key(group_name));
+        if (found == m_fleet.m_platform.m_rows.end())
+            return std::nullopt;
+        const auto row = fleet::decode_leadership(found->second);
+        if (!row || !*row || (*row)->m_phase != fleet::leadership_phase::moving)
+            return std::nullopt;
+        return std::stoul((*row)->m_holder.str().substr(1));
+    }
+    // Its process is killed; the one after it starts without knowledge.
+    void kill(std::size_t host)
+    {
+        m_fleet.m_hosts[host] = std::make_unique<fake_host>(
+            "h" + std::to_string(host), m_fleet.m_platform, m_fleet.m_clock, 2);
+    }
+
+    std::uint64_t counted(const char* counter)
+    {
+        std::uint64_t sum = 0;
+        for (auto& host : m_fleet.m_hosts)
+            sum += host->m_metrics.counter(counter).value();
+        return sum;
+    }
+};
+
+} // namespace
+
+// review/6: the replica with the commits refused its report as busy, and after
+// 250 ms the other one was promoted without them.
+Test(sync_replicas, a_busy_replica_is_waited_for)
+{
+    sync_world w;
+    w.m_group.m_busy = {"e1"};
+    w.crash_primary();
+    w.run(absl::Seconds(8));
+    cr_assert_eq(w.promotions(), 0);
+    cr_assert_eq(w.counted("promotions.waiting"), 1);
+    cr_assert_gt(w.counted("endpoints.reports_refused"), 5);
+    w.m_group.m_busy.clear();
+    w.run(absl::Seconds(2));
+    cr_assert_eq(w.promoted(), "e1");
+}
+
+// The same with a replica that cannot be reached for a while.
+Test(sync_replicas, an_unreachable_replica_is_waited_for)
+{
+    sync_world w;
+    w.m_group.crash(w.m_fleet, "e1");
+    w.crash_primary();
+    w.run(absl::Seconds(8));
+    cr_assert_eq(w.promotions(), 0);
+    w.m_group.m_crashed.erase("e1");
+    w.run(absl::Seconds(3));
+    cr_assert_eq(w.promoted(), "e1");
+}
+
+// The old primary has everything that it has acknowledged.
+Test(sync_replicas, an_old_primary_that_is_back_goes_on)
+{
+    sync_world w;
+    w.m_group.m_busy = {"e1"};
+    w.crash_primary();
+    w.run(absl::Seconds(3));
+    cr_assert_eq(w.promotions(), 0);
+    w.m_group.m_crashed.clear();
+    w.run(absl::Seconds(4));
+    cr_assert_eq(w.promoted(), "e0");
+    cr_assert(uses_primary(w.m_fleet, 0, 7));
+}
+
+// The operator's way out when an endpoint never returns.
+Test(sync_replicas, a_configuration_without_them_ends_the_wait)
+{
+    sync_world w;
+    w.m_group.m_busy = {"e1"};
+    w.crash_primary();
+    w.run(absl::Seconds(3));
+    cr_assert_eq(w.promotions(), 0);
+    w.set_sync_replicas(0);
+    w.run(absl::Seconds(1));
+    cr_assert_eq(w.promoted(), "e2");
+}
+
+// Whoever takes over after a holder's loss, in whatever state that was, chooses
+// by the same evidence.
+Test(sync_replicas, a_takeover_loses_no_commit_in_any_state)
+{
+    for (int delay_ms = 250; delay_ms <= 2200; delay_ms += 50)
+    {
+        sync_world w;
+        w.m_group.m_busy = {"e1"};
+        w.crash_primary();
+        bool killed = false;
+        for (int passed = 0; passed < 20'000; passed += 50)
+        {
+            if (passed == 2000)
+                w.m_group.m_busy.clear();
+            if (!killed && passed >= delay_ms)
+                if (const auto host = w.holder())
+                {
+                    w.kill(*host);
+                    killed = true;
+                }
+            w.run(absl::Milliseconds(50));
+        }
+        cr_assert(killed, "no claim after %d ms", delay_ms);
+        cr_assert_eq(w.m_group.m_primary, "e1", "killed after %d ms", delay_ms);
+        for (const auto& asked : w.m_fleet.m_platform.m_promoted)
+            cr_assert_neq(asked.m_endpoint.str(), "e2", "killed after %d ms",
+                          delay_ms);
+    }
+}
+
+// A primary that drains is replaced by the replica that has all its commits,
+// not by the one that is behind.
+Test(sync_replicas, a_planned_change_takes_the_replica_that_follows)
+{
+    sync_world w;
+    w.entry("e0").m_leaving = true;
+    w.run(absl::Seconds(8));
+    cr_assert_eq(w.promoted(), "e1");
+}
