Count draining and evacuated replicas as evidence of commits

Cause: a replica that drains goes on receiving and counts toward sync_replicas until it ends, but promotion_candidates left it out, so neither did its log count nor could it lead; the replica that had received nothing was the only candidate. An endpoint in an evacuated failure domain was left out in the same way.

Every listed endpoint of a group with synchronous replicas now counts as evidence. One that drains, is evacuated or does not answer the choosing host leads only when no other endpoint is known to hold every acknowledged commit; the planned replacement that its state asks for follows.

Why no test of ours showed it: no test had a draining replica beside a replica that is behind; with asynchronous replication the two are not told apart.

--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -173,10 +173,9 @@
     holders.m_sync_replicas = configured->second.m_sync_replicas;
     for (const auto& entry : group.m_entries)
     {
-        if (entry.m_leaving ||
-            m_evacuations.is_evacuated(entry.m_failure_domain))
-            continue;
         const bool avoided =
+            entry.m_leaving ||
+            m_evacuations.is_evacuated(entry.m_failure_domain) ||
             m_runner->unreachable_for(entry.m_id, now) > absl::ZeroDuration();
         holders.m_listed.push_back(
             {entry.m_id, avoided, m_runner->is_cold(entry.m_id, now)});
--- a/unittests/entry/sync_replicas_test.cpp
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -138,6 +138,34 @@
     cr_assert_eq(w.promoted(), "e1");
 }
 
+// review/8: a replica that drains was not asked, and the other one was promoted
+// without the commits that only the draining one had.
+Test(sync_replicas, a_draining_replica_that_has_the_commits_leads)
+{
+    sync_world w;
+    w.entry("e1").m_leaving = true;
+    w.run(absl::Seconds(1));
+    w.crash_primary();
+    w.run(absl::Seconds(4));
+    cr_assert_eq(w.promoted(), "e1");
+    w.m_group.m_received["e2"] = 95;
+    w.run(absl::Seconds(8));
+    cr_assert_eq(w.m_group.m_primary, "e2");
+}
+
+// An endpoint in an evacuated failure domain was left out in the same way.
+Test(sync_replicas, an_evacuated_replica_may_have_commits)
+{
+    sync_world w;
+    w.entry("e1").m_failure_domain = base::failure_domain_id("evacuated");
+    w.run(absl::Seconds(1));
+    w.m_fleet.m_platform.evacuate("evacuated");
+    w.run(absl::Milliseconds(500));
+    w.crash_primary();
+    w.run(absl::Seconds(20));
+    cr_assert_neq(w.promoted(), "e2");
+}
+
 // The old primary has everything that it has acknowledged.
 Test(sync_replicas, an_old_primary_that_is_back_goes_on)
 {
--- a/unittests/handover/sync_replicas_test.cpp
+++ b/unittests/handover/sync_replicas_test.cpp
@@ -119,6 +119,32 @@
     cr_assert_eq(f.promoted(), "first");
 }
 
+// review/8: a replica that drained was no candidate, so its log was not asked
+// for, and one without the acknowledged commits was promoted.
+Test(sync_replicas, an_avoided_replica_with_more_commits_leads)
+{
+    sync_fixture f;
+    f.avoid(first);
+    f.reach_choice();
+    cr_assert(f.asks(first));
+    f.report(second, false, 1, 1, 90);
+    f.run(absl::Milliseconds(500));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    f.report(first, false, 1, 1, 95);
+    cr_assert_eq(f.promoted(), "first");
+}
+
+// A replica that drains would have to be replaced again soon.
+Test(sync_replicas, of_equal_logs_the_one_that_stays_leads)
+{
+    sync_fixture f;
+    f.avoid(first);
+    f.reach_choice();
+    f.report(first, false, 1, 1, 95);
+    f.report(second, false, 1, 1, 95);
+    cr_assert_eq(f.promoted(), "second");
+}
+
 // The old primary has every commit that it acknowledged, whoever else is
 // silent.
 Test(sync_replicas, the_old_primary_that_is_back_ends_the_wait)
