Remember replicas that are gone until their commits are elsewhere

Cause: the evidence counted listed endpoints only. An entry that is gone says nothing about the log, and the report of a restarted replica only shows that the new process has nothing.

Each host now remembers a replica that is gone from the list or has restarted (handover/lost_replicas). The primary's next shown log end covers every commit from before the loss; once another replica has that much, the lost one matters no more, so a replica that is gone for good holds back promotions only until the next write has been replicated. It is forgotten too when it is back with its process, or when it drained and the next endpoint at its address, which takes over its log, is there. A primary that restarts keeps its log.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -9,6 +9,7 @@
 #include "magnoliastack/fleet/member_relay.hpp"
 #include "magnoliastack/fleet/members.hpp"
 #include "magnoliastack/fleet/row_recovery.hpp"
+#include "magnoliastack/handover/lost_replicas.hpp"
 #include "magnoliastack/handover/promotion.hpp"
 #include "magnoliastack/lease/currency.hpp"
 #include "magnoliastack/lease/store_clock.hpp"
@@ -278,6 +279,8 @@
         // none when several do.
         std::vector<catalogue::endpoint_entry> m_entries;
         std::optional<base::endpoint_id> m_initial_primary;
+        // Replicas that may have had commits and cannot be asked any more.
+        handover::lost_replicas m_lost;
         // The leader is listed, stays and is not evacuated; kept when one of
         // them changes.
         bool m_leader_stays = false;
@@ -381,6 +384,8 @@
     [[nodiscard]] handover::commit_holders
     holders_of(const base::group_id& id, const group_leadership& group,
                base::instant now) const;
+    void follow_lost_replicas(const base::group_id& id, group_leadership& group,
+                              base::instant now) const;
     void tell_awaited(const base::group_id& id, group_leadership& group,
                       base::instant now);
     [[nodiscard]] handover::promotion_inputs inputs(const base::group_id& id,
--- a/include/magnoliastack/handover/commit_evidence.hpp
+++ b/include/magnoliastack/handover/commit_evidence.hpp
@@ -4,6 +4,7 @@
 #define MAGNOLIASTACK_HANDOVER_COMMIT_EVIDENCE_HPP
 
 #include "magnoliastack/base/ids.hpp"
+#include "magnoliastack/handover/lost_replicas.hpp"
 #include "magnoliastack/rpc/opaque_statement.hpp"
 
 #include <cstdint>
@@ -34,6 +35,8 @@
     std::uint32_t m_sync_replicas = 0;
     // All listed endpoints, the primary that is replaced among them.
     std::vector<commit_holder> m_listed;
+    // Replicas that cannot be asked any more.
+    std::vector<lost_replica> m_lost;
 };
 
 // Reports that were asked for after the last host had released the primary.
@@ -68,6 +71,7 @@
     // term has beyond the newer one's log was never acknowledged.
     using log_end = std::pair<base::term, base::log_point>;
 
+    [[nodiscard]] bool is_covered(const lost_replica& lost) const;
     [[nodiscard]] log_end end_of(const rpc::endpoint_report& report) const;
     // True for a primary whose log has every acknowledged commit: of the
     // published term, or promoted since from a log that had them.
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -157,7 +157,7 @@
     return candidates.empty() ? evacuated : candidates;
 }
 
-// Every listed endpoint of the group.
+// Every listed endpoint and every lost replica of the group.
 handover::commit_holders
 fleet_service::holders_of(const base::group_id& id,
                           const group_leadership& group,
@@ -180,9 +180,27 @@
         holders.m_listed.push_back(
             {entry.m_id, avoided, m_runner->is_cold(entry.m_id, now)});
     }
+    holders.m_lost = group.m_lost.all();
     return holders;
 }
 
+// What hosts learn of the primary's and the replicas' logs while they serve
+// tells which lost replicas matter no more.
+void fleet_service::follow_lost_replicas(const base::group_id& id,
+                                         group_leadership& group,
+                                         base::instant now) const
+{
+    const group_state* state = m_runner->find_group(id);
+    const auto leader = primary(id, now);
+    if (group.m_lost.all().empty() || state == nullptr || !leader)
+        return;
+    if (const auto newest = state->m_bounds.newest())
+        group.m_lost.primary_observed(newest->m_point, newest->m_sent);
+    for (const auto& [endpoint, known] : state->m_endpoints)
+        if (endpoint != *leader && known.m_listed && known.m_position)
+            group.m_lost.replica_observed(*known.m_position);
+}
+
 // Says which endpoints a group without a primary waits for, at first and then
 // from time to time.
 void fleet_service::tell_awaited(const base::group_id& id,
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -34,6 +34,7 @@
     update_shares(now);
     for (auto& [id, group] : m_groups)
     {
+        follow_lost_replicas(id, group, now);
         if (is_quiet(id, group))
             continue;
         stop_moving(id, group, now);
@@ -61,6 +62,8 @@
     group_leadership& group,
     std::vector<catalogue::endpoint_entry> entries) const
 {
+    group.m_lost.entries_changed(group.m_entries, entries,
+                                 m_links.m_clock.now());
     group.m_entries = std::move(entries);
     group.m_initial_primary.reset();
     std::size_t count = 0;
--- a/lib/handover/commit_evidence.cpp
+++ b/lib/handover/commit_evidence.cpp
@@ -17,6 +17,9 @@
         if (holder.m_endpoint != m_old_primary &&
             !m_reports.contains(holder.m_endpoint))
             m_missing.push_back(holder.m_endpoint);
+    for (const auto& lost : m_holders.m_lost)
+        if (!is_covered(lost))
+            m_missing.push_back(lost.m_entry.m_id);
 }
 
 bool commit_evidence::holds_all(const base::endpoint_id& endpoint) const
@@ -51,6 +54,24 @@
     return rank(one) > rank(other);
 }
 
+bool commit_evidence::is_covered(const lost_replica& lost) const
+{
+    const bool was_old_primary = m_old_primary.empty()
+                                     ? lost.m_entry.m_primary
+                                     : lost.m_entry.m_id == m_old_primary;
+    if (was_old_primary)
+        return true;
+    if (!lost.m_covered_by)
+        return false;
+    return std::any_of(m_reports.begin(), m_reports.end(),
+                       [this, &lost](const auto& item)
+                       {
+                           return item.first != m_old_primary &&
+                                  item.second.m_term >= m_published &&
+                                  item.second.m_received >= *lost.m_covered_by;
+                       });
+}
+
 commit_evidence::log_end
 commit_evidence::end_of(const rpc::endpoint_report& report) const
 {
--- a/unittests/entry/sync_replicas_test.cpp
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -166,6 +166,36 @@
     cr_assert_neq(w.promoted(), "e2");
 }
 
+// A replica whose entry has gone shortly before the primary fails may have been
+// the only one with a commit.
+Test(sync_replicas, a_replica_that_is_gone_from_the_list_is_waited_for)
+{
+    sync_world w;
+    const auto entry = w.take_entry("e1");
+    w.run(absl::Milliseconds(500));
+    w.crash_primary();
+    w.run(absl::Seconds(8));
+    cr_assert_eq(w.promotions(), 0);
+    w.m_fleet.m_platform.m_entries.push_back(entry);
+    w.run(absl::Seconds(3));
+    cr_assert_eq(w.promoted(), "e1");
+}
+
+// A replica that is gone for good must not hold back every later promotion.
+Test(sync_replicas, a_lost_replica_is_forgotten_when_another_has_its_commits)
+{
+    sync_world w;
+    w.take_entry("e1");
+    w.run(absl::Milliseconds(500));
+    // A write shows the primary's log after the loss; the replica has it.
+    w.m_group.m_received["e0"] = w.m_group.m_received["e2"] = 100;
+    cr_assert(uses_primary(w.m_fleet, 0, 7));
+    w.run(absl::Seconds(1));
+    w.crash_primary();
+    w.run(absl::Seconds(4));
+    cr_assert_eq(w.promoted(), "e2");
+}
+
 // The old primary has everything that it has acknowledged.
 Test(sync_replicas, an_old_primary_that_is_back_goes_on)
 {
--- a/unittests/handover/sync_replicas_test.cpp
+++ b/unittests/handover/sync_replicas_test.cpp
@@ -37,6 +37,22 @@
         std::erase(m_inputs.m_candidates, id);
     }
 
+    // The endpoint's entry has gone before the old primary's end.
+    void lose(const base::endpoint_id& id,
+              std::optional<base::log_point> covered_by = {})
+    {
+        std::erase(m_inputs.m_candidates, id);
+        std::erase_if(m_inputs.m_holders.m_listed,
+                      [&id](const auto& item)
+                      {
+                          return item.m_endpoint == id;
+                      });
+        lost_replica lost;
+        lost.m_entry.m_id = id;
+        lost.m_covered_by = covered_by;
+        m_inputs.m_holders.m_lost.push_back(lost);
+    }
+
     // The endpoint that is asked to lead; empty when none is.
     std::string promoted()
     {
@@ -57,6 +73,11 @@
     }
 };
 
+base::log_point point(std::uint64_t term, std::uint64_t position)
+{
+    return {base::term(term), base::log_position(position)};
+}
+
 } // namespace
 
 // review/6: a replica that refused its report as busy counted as one without
@@ -145,6 +166,32 @@
     cr_assert_eq(f.promoted(), "second");
 }
 
+// A replica that is gone may have been the only one with a commit.
+Test(sync_replicas, a_lost_replica_is_waited_for)
+{
+    sync_fixture f;
+    f.lose(first);
+    f.reach_choice();
+    f.report(second, false, 1, 1, 90);
+    f.run(absl::Seconds(20));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    cr_assert(f.m_promotion.awaited() == std::vector<base::endpoint_id>{first});
+}
+
+// Without this a group could not replace its primary any more once one of its
+// replicas is gone for good.
+Test(sync_replicas, a_lost_replica_is_not_needed_once_another_has_its_log)
+{
+    sync_fixture f;
+    f.lose(first, point(1, 80));
+    f.reach_choice();
+    f.report(second, false, 1, 1, 79);
+    f.run(absl::Seconds(1));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    f.report(second, false, 1, 1, 80);
+    cr_assert_eq(f.promoted(), "second");
+}
+
 // The old primary has every commit that it acknowledged, whoever else is
 // silent.
 Test(sync_replicas, the_old_primary_that_is_back_ends_the_wait)
@@ -259,6 +306,7 @@
     sync_fixture f;
     f.avoid(old_primary);
     f.m_inputs.m_need = need::planned;
+    f.lose(second);
     f.reach_choice();
     f.report(old_primary, true, 1, 1, 95);
     f.report(first, false, 1, 1, 90);
