Replace a draining primary when a replica follows it

With the evidence of the commits before, the old primary itself was chosen again instead, and the replacement began anew each second: writes stopped for most of the time.

The replacement now begins only when a replica has what the primary had at the request before; until then the primary serves on and is asked each 500 ms. A primary whose entry is gone or whose failure domain is evacuated is replaced at once as before. Without synchronous replicas nothing changes.

Evidence: a_planned_change_waits_for_a_replica_that_follows fails on and on the parent; a_draining_replica_that_has_the_commits_leads now also checks that no further promotion is asked for while nobody follows.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -309,6 +309,8 @@
         base::instant m_told;
         base::instant m_told_point;
         base::instant m_newest_point;
+
+        [[nodiscard]] bool is_listed(const base::endpoint_id& endpoint) const;
     };
     using group_item = std::pair<const base::group_id, group_leadership>;
 
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -13,6 +13,16 @@
 using fleet::leadership_phase;
 using handover::need;
 
+bool fleet_service::group_leadership::is_listed(
+    const base::endpoint_id& endpoint) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [&endpoint](const auto& entry)
+                       {
+                           return entry.m_id == endpoint;
+                       });
+}
+
 void fleet_service::replace_primary(const base::group_id& id,
                                     group_leadership& group, base::instant now)
 {
@@ -265,6 +275,8 @@
         if (m_runner->is_cold(id, now))
             given.m_cold.insert(id);
     given.m_holders = holders_of(id, group, now);
+    given.m_primary_may_stay = group.is_listed(given.m_primary) &&
+                               !is_evacuated(group, given.m_primary);
     given.m_store_earliest =
         m_store_clock.earliest(now).value_or(rpc::store_instant());
     given.m_store_latest =
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -105,6 +105,9 @@
     if (inputs.m_need == need::none || !inputs.m_may_start ||
         m_change_running || !may_take_duty(inputs))
         return;
+    if (inputs.m_need == need::planned && inputs.m_primary_may_stay &&
+        inputs.m_holders.m_sync_replicas > 0 && !has_follower(inputs, out, now))
+        return;
     m_need = inputs.m_need;
     m_left_moving = inputs.m_leadership && inputs.m_leadership->m_phase ==
                                                fleet::leadership_phase::moving;
@@ -210,6 +213,44 @@
     return result;
 }
 
+// True when a replica had received what the primary had at the request before,
+// so that writes do not wait for the replica once the primary is claimed.
+bool promotion::has_follower(const promotion_inputs& inputs, actions& out,
+                             base::instant now)
+{
+    const auto primary = follower_report(inputs.m_primary);
+    if (primary)
+    {
+        const base::log_point end =
+            m_end_to_follow.value_or(primary->m_received);
+        for (const auto& id : inputs.m_candidates)
+            if (const auto replica = follower_report(id);
+                replica && replica->m_received >= end)
+                return true;
+    }
+    if (m_follower_asked &&
+        now - *m_follower_asked < m_options.m_follower_interval)
+        return false;
+    m_follower_asked = now;
+    if (primary)
+        m_end_to_follow = primary->m_received;
+    for (const auto& id : inputs.m_candidates)
+        out.emplace_back(ask_report{id});
+    out.emplace_back(ask_report{inputs.m_primary});
+    return false;
+}
+
+// The endpoint's report of the last round of requests for a follower.
+std::optional<rpc::endpoint_report>
+promotion::follower_report(const base::endpoint_id& endpoint) const
+{
+    const auto found = m_reports.find(endpoint);
+    if (!m_follower_asked || found == m_reports.end() ||
+        found->second.m_asked < *m_follower_asked)
+        return std::nullopt;
+    return found->second.m_report;
+}
+
 void promotion::tick_promoting(const promotion_inputs& inputs, actions& out,
                                base::instant now)
 {
@@ -420,6 +461,8 @@
     m_newest_term = {};
     m_attempted = {};
     m_attempted_other = false;
+    m_follower_asked.reset();
+    m_end_to_follow.reset();
     m_change_running = true;
     m_change_applied.reset();
     change_rows claim{
--- a/unittests/entry/sync_replicas_test.cpp
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -148,6 +148,8 @@
     w.crash_primary();
     w.run(absl::Seconds(4));
     cr_assert_eq(w.promoted(), "e1");
+    // It serves until another replica has its log.
+    cr_assert_eq(w.promotions(), 1);
     w.m_group.m_received["e2"] = 95;
     w.run(absl::Seconds(8));
     cr_assert_eq(w.m_group.m_primary, "e2");
@@ -262,3 +264,17 @@
     w.run(absl::Seconds(8));
     cr_assert_eq(w.promoted(), "e1");
 }
+
+// Nobody follows: the primary serves on instead of leaving its commits behind.
+Test(sync_replicas, a_planned_change_waits_for_a_replica_that_follows)
+{
+    sync_world w;
+    w.m_group.m_received["e1"] = 90;
+    w.entry("e0").m_leaving = true;
+    w.run(absl::Seconds(8));
+    cr_assert_eq(w.promotions(), 0);
+    cr_assert(uses_primary(w.m_fleet, 0, 7));
+    w.m_group.m_received["e1"] = 95;
+    w.run(absl::Seconds(3));
+    cr_assert_eq(w.promoted(), "e1");
+}
--- a/unittests/handover/sync_replicas_test.cpp
+++ b/unittests/handover/sync_replicas_test.cpp
@@ -322,3 +322,50 @@
     f.apply();
     cr_assert_eq(f.m_inputs.m_leadership->m_primary, old_primary);
 }
+
+// Writes would stop for a replica that receives nothing, although the primary
+// still serves.
+Test(sync_replicas, a_planned_change_begins_when_a_replica_follows)
+{
+    sync_fixture f;
+    f.avoid(old_primary);
+    f.m_inputs.m_need = need::planned;
+    f.m_inputs.m_primary_may_stay = true;
+    for (int count = 0; count < 40; ++count)
+    {
+        f.step();
+        cr_assert_not(f.sent<change_rows>().has_value());
+        f.report(old_primary, true, 1, 1, 95);
+        f.report(first, false, 1, 1, 90);
+    }
+    f.report(first, false, 1, 1, 95);
+    f.step();
+    cr_assert(f.sent<change_rows>().has_value());
+}
+
+// While commits keep coming no replica is exactly level with the primary.
+Test(sync_replicas, a_replica_that_has_what_the_primary_had_before_follows)
+{
+    sync_fixture f;
+    f.avoid(old_primary);
+    f.m_inputs.m_need = need::planned;
+    f.m_inputs.m_primary_may_stay = true;
+    f.step();
+    f.report(old_primary, true, 1, 1, 95);
+    f.report(first, false, 1, 1, 93);
+    f.run(absl::Milliseconds(550));
+    cr_assert_not(f.sent<change_rows>().has_value());
+    f.report(old_primary, true, 1, 1, 99);
+    f.report(first, false, 1, 1, 97);
+    f.step();
+    cr_assert(f.sent<change_rows>().has_value());
+}
+
+// A primary whose entry is gone cannot be asked, and may end at any moment.
+Test(sync_replicas, a_planned_change_of_an_unlisted_primary_begins_at_once)
+{
+    sync_fixture f;
+    f.m_inputs.m_need = need::planned;
+    f.step();
+    cr_assert(f.sent<change_rows>().has_value());
+}
