Soak groups whose commits wait for a synchronous replica

Every second group now has one synchronous replica: a commit is acknowledged once a replica has it, and at each promotion every acknowledged commit has to be in the log of the promoted endpoint (LOST). A new kind of fault has one replica receive nothing while the other one has no free slot, drains, crashes or serves, and lets the primary crash meanwhile. Faults of each kind overlap as before.

--- a/test/soak/database.cpp
+++ b/test/soak/database.cpp
@@ -128,7 +128,9 @@
     void run(const std::string& id, const std::vector<std::string>& words)
     {
         const std::string& verb = words[0];
-        if (verb == "STATUS")
+        if (verb == "STATUS" && m_owner.m_has_no_slot)
+            fail("BUSY");
+        else if (verb == "STATUS")
             status();
         else if (verb == "STEPDOWN")
         {
@@ -196,8 +198,9 @@
         note(id, false);
         m_writers.push_back(id);
         if (m_state != 'T')
-            append();
-        done(absl::StrCat("s-", id));
+            append(id);
+        else
+            done(absl::StrCat("s-", id));
     }
 
     void commit_work(const std::string& id)
@@ -215,8 +218,7 @@
             return;
         }
         m_writers.push_back(id);
-        append();
-        done(absl::StrCat("s-", id));
+        append(id);
     }
 
     // A plain transaction cannot go on at an endpoint that lost the lead.
@@ -246,7 +248,9 @@
                   reads && m_state != 'T', shown);
     }
 
-    void append()
+    // Commits what was written; the answer comes when the commit is where it
+    // has to be.
+    void append(const std::string& id)
     {
         auto item = std::make_shared<commit>();
         item->m_term = m_owner.m_term;
@@ -256,6 +260,13 @@
         m_owner.m_log.push_back(item);
         m_owner.m_applied = m_owner.m_log.size();
         m_owner.m_owner.judge().committed(item);
+        m_owner.m_owner.when_replicated(
+            item,
+            [connection = weak_from_this(), id]
+            {
+                if (const auto self = connection.lock())
+                    self->done(absl::StrCat("s-", id));
+            });
     }
 
     [[nodiscard]] std::string ready() const
@@ -274,6 +285,8 @@
 
     void answer(std::string text)
     {
+        if (!m_socket.is_open())
+            return;
         m_output = std::move(text);
         asio::async_write(
             m_socket, asio::buffer(m_output),
@@ -353,8 +366,9 @@
 }
 
 group::group(asio::io_context& loop, checker& judge, std::string name,
-             const std::vector<std::string>& domains)
-    : m_loop(loop), m_judge(judge), m_name(std::move(name))
+             const std::vector<std::string>& domains, std::size_t sync_replicas)
+    : m_loop(loop), m_judge(judge), m_name(std::move(name)),
+      m_sync_replicas(sync_replicas)
 {
     for (std::size_t index = 0; index < domains.size(); ++index)
         m_endpoints.push_back(std::make_unique<endpoint>(
@@ -406,12 +420,74 @@
         if (item->m_primary && now - m_promoted_at < step_down_time)
             continue;
         item->m_primary = false;
-        follow(*item, primary);
+        if (!item->m_deaf)
+            follow(*item, primary);
     }
+    acknowledge_replicated();
+}
+
+void group::when_replicated(const commit_ptr& what,
+                            std::function<void()> acknowledge)
+{
+    if (m_sync_replicas == 0)
+        acknowledge();
+    else
+        m_unacknowledged.emplace_back(what, std::move(acknowledge));
+}
+
+bool group::is_replicated(const commit_ptr& what) const
+{
+    const auto copies =
+        std::count_if(m_endpoints.begin(), m_endpoints.end(),
+                      [&what](const auto& item)
+                      {
+                          return item->m_log.size() >= what->m_number &&
+                                 item->m_log[what->m_number - 1] == what;
+                      });
+    return static_cast<std::size_t>(copies) > m_sync_replicas;
+}
+
+void group::acknowledge_replicated()
+{
+    std::vector<std::function<void()>> due;
+    std::erase_if(m_unacknowledged,
+                  [this, &due](auto& item)
+                  {
+                      if (item.first->m_rolled_back)
+                          return true;
+                      if (!is_replicated(item.first))
+                          return false;
+                      due.push_back(std::move(item.second));
+                      return true;
+                  });
+    for (const auto& acknowledge : due)
+        acknowledge();
+}
+
+void group::judge_promotion(const endpoint& chosen)
+{
+    if (m_sync_replicas == 0)
+        return;
+    for (const auto& item : m_endpoints)
+        for (const auto& entry : item->m_log)
+        {
+            const bool acknowledged =
+                entry->m_acknowledged != clock::time_point::max();
+            const bool kept = entry->m_number <= chosen.m_log.size() &&
+                              chosen.m_log[entry->m_number - 1] == entry;
+            if (acknowledged && !kept && !entry->m_rolled_back)
+                m_judge.broken("LOST",
+                               absl::StrCat("commit ", entry->m_term, ".",
+                                            entry->m_number, " of ", m_name,
+                                            " is not at ", chosen.m_id,
+                                            ", which is promoted; ", item->m_id,
+                                            " has it"));
+        }
 }
 
 void group::lead(endpoint& chosen)
 {
+    judge_promotion(chosen);
     ++m_term;
     m_promoted_at = clock::now();
     chosen.m_primary = true;
--- a/test/soak/database.hpp
+++ b/test/soak/database.hpp
@@ -50,6 +50,10 @@
     bool m_leaving = false;
     // Cut off from the other endpoints of its group.
     bool m_isolated = false;
+    // Receives nothing of the primary's log.
+    bool m_deaf = false;
+    // Refuses to report because no slot is free.
+    bool m_has_no_slot = false;
     // How late it shows what it has received.
     std::chrono::milliseconds m_lag{20};
     std::uint64_t m_term = 1;
@@ -78,8 +82,9 @@
 class group
 {
 public:
+    // A commit is acknowledged once so many replicas have it.
     group(asio::io_context& loop, checker& judge, std::string name,
-          const std::vector<std::string>& domains);
+          const std::vector<std::string>& domains, std::size_t sync_replicas);
 
     // Replication and old primaries; call it every 10 ms.
     void tick();
@@ -94,6 +99,14 @@
     {
         return m_endpoints;
     }
+    [[nodiscard]] std::size_t sync_replicas() const
+    {
+        return m_sync_replicas;
+    }
+    // Calls `acknowledge` once enough replicas have the commit; never when its
+    // endpoint ends before.
+    void when_replicated(const commit_ptr& what,
+                         std::function<void()> acknowledge);
     // The endpoint that leads by the newest promotion.
     [[nodiscard]] endpoint& leader();
     checker& judge()
@@ -112,12 +125,18 @@
 
 private:
     void lead(endpoint& chosen);
+    // An acknowledged commit has to be in the log of whoever is promoted.
+    void judge_promotion(const endpoint& chosen);
+    [[nodiscard]] bool is_replicated(const commit_ptr& what) const;
+    void acknowledge_replicated();
     void follow(endpoint& replica, const endpoint& primary);
 
     asio::io_context& m_loop;
     checker& m_judge;
     std::string m_name;
     std::vector<std::unique_ptr<endpoint>> m_endpoints;
+    std::size_t m_sync_replicas;
+    std::vector<std::pair<commit_ptr, std::function<void()>>> m_unacknowledged;
     std::uint64_t m_term = 1;
     clock::time_point m_promoted_at;
     std::optional<std::pair<std::string, clock::time_point>> m_promoting;
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -142,7 +142,7 @@
     std::string name;
     std::function<void()> undo;
     const std::size_t kind = draw(kinds_of_each);
-    const std::size_t about = draw(5);
+    const std::size_t about = draw(6);
     // The last kind of a host's faults is a pause.
     const bool of_store =
         about == 1 || about == 2 || (about == 0 && kind + 1 == kinds_of_each);
@@ -163,6 +163,9 @@
     case 3:
         undo = begin_on_endpoint(kind, name);
         break;
+    case 4:
+        undo = begin_on_commits(kind, name);
+        break;
     default:
         undo = change_something(kind, name);
         break;
@@ -359,6 +362,70 @@
     }
 }
 
+// One replica of a group with synchronous replicas receives nothing, so the
+// other one has the acknowledged commits; something hides it, and the primary
+// crashes a while later.
+std::function<void()> fault_plan::begin_on_commits(std::size_t kind,
+                                                   std::string& name)
+{
+    std::vector<group*> groups;
+    for (const auto& item : m_world.m_groups)
+        if (item->sync_replicas() > 0)
+            groups.push_back(item.get());
+    if (groups.empty())
+    {
+        name = "nothing";
+        return nothing();
+    }
+    group& where = *groups[draw(groups.size())];
+    std::vector<endpoint*> replicas;
+    for (const auto& item : where.endpoints())
+        if (item.get() != &where.leader())
+            replicas.push_back(item.get());
+    const std::size_t first = draw(replicas.size());
+    endpoint& deaf = *replicas[first];
+    endpoint& other = *replicas[(first + 1) % replicas.size()];
+    name = deaf.id() + " receives nothing, " + other.id();
+    deaf.m_deaf = true;
+    if (kind == 0)
+        name += " has no free slot";
+    else if (kind == 1)
+        name += " drains";
+    else if (kind == 2)
+        name += " crashes for a while";
+    else
+        name += " serves";
+    other.m_has_no_slot = kind == 0;
+    other.m_leaving = kind == 1;
+    const auto crashed = std::make_shared<endpoint*>(nullptr);
+    const auto timer = std::make_shared<asio::steady_timer>(m_world.m_loop);
+    timer->expires_after(std::chrono::milliseconds(200 + draw(1500)));
+    timer->async_wait(
+        [crashed, timer, &where, &other, kind](boost::system::error_code failed)
+        {
+            if (failed)
+                return;
+            if (&where.leader() != &other)
+                *crashed = &where.leader();
+            if (*crashed != nullptr)
+                (*crashed)->crash();
+            if (kind == 2)
+                other.crash();
+        });
+    return [crashed, timer, &deaf, &other]
+    {
+        timer->cancel();
+        deaf.m_deaf = false;
+        other.m_has_no_slot = false;
+        if (other.m_leaving)
+            other.crash();
+        other.m_leaving = false;
+        other.start();
+        if (*crashed != nullptr)
+            (*crashed)->start();
+    };
+}
+
 std::function<void()> fault_plan::change_something(std::size_t kind,
                                                    std::string& name)
 {
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -53,7 +53,9 @@
     const std::vector<std::string> domains{"d0", "d1", "d2"};
     for (std::size_t index = 0; index < m_options.m_groups; ++index)
         m_groups.push_back(std::make_unique<group>(
-            m_loop, m_judge, absl::StrCat("g", index), domains));
+            m_loop, m_judge, absl::StrCat("g", index), domains,
+            // Both kinds of groups, whatever their number.
+            index % 2));
     m_hosts.resize(m_options.m_hosts);
     m_store = std::make_unique<store>(
         m_loop, m_judge, m_options.m_hosts,
@@ -198,7 +200,9 @@
              {"priority", 1},
              {"service", item.m_group}});
     for (const auto& item : m_groups)
-        all["services"].push_back({{"name", item->name()}, {"max_conns", 40}});
+        all["services"].push_back({{"name", item->name()},
+                                   {"max_conns", 40},
+                                   {"sync_replicas", item->sync_replicas()}});
     for (std::size_t index = 0; index < organisations; ++index)
     {
         const double rate =
