Give a primary that drains no new work near its end

Nothing but the replacement itself ended the use of the primary. With synchronous replicas and none that follows, the replacement may wait even longer.

A host now gives a primary no new work once its entry has been gone or draining for 6 s here, which leaves 1 s for learning of it before the 7 s are over; such statements are refused as busy at once. Open transactions go on.

--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -61,10 +61,15 @@
     base::instant m_failed_since;
     // Next attempt to reach it.
     base::instant m_next_try;
-    // Its entry is gone or says that it leaves.
-    bool m_leaving = false;
+    // Since when its entry has been gone or has said that it leaves.
+    std::optional<base::instant> m_leaving_since;
     bool m_listed = true;
 
+    [[nodiscard]] bool is_leaving() const
+    {
+        return m_leaving_since.has_value();
+    }
+
     // Connections that open or have a request without its answer. A
     // transaction that waits for its caller does not count.
     [[nodiscard]] std::uint32_t in_flight()
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -30,6 +30,9 @@
     // An endpoint that owes an answer and has sent nothing for this long is
     // suspected; a busy endpoint answers something else meanwhile.
     absl::Duration m_silence = absl::Milliseconds(250);
+    // A primary that leaves gets new work for this long after a host has read
+    // so; 7 s after the store has said so none may reach it.
+    absl::Duration m_leaving_limit = absl::Milliseconds(6000);
     // A connection has to open within this.
     absl::Duration m_connect_timeout = absl::Milliseconds(400);
     // Time between attempts to reach an endpoint that does not answer.
@@ -298,6 +301,9 @@
     [[nodiscard]] bool is_closed(const endpoint_state& endpoint,
                                  base::instant now) const;
     void close_evacuated(endpoint_state& endpoint, base::instant now);
+    // True when the endpoint has left, or is about to, and gets no new work.
+    [[nodiscard]] bool has_left(const endpoint_state& endpoint,
+                                base::instant now) const;
     [[nodiscard]] bool is_primary_closed(const group_state& group,
                                          base::instant now) const;
     [[nodiscard]] placement_request requirements(const session& who,
--- a/lib/entry/forwarding_service.cpp
+++ b/lib/entry/forwarding_service.cpp
@@ -198,7 +198,7 @@
     if (endpoint == nullptr || !endpoint->m_listed ||
         endpoint->m_entry.m_group != what.m_group)
         return "not_listed";
-    if (endpoint->m_leaving)
+    if (endpoint->is_leaving())
         return "leaving";
     if (!m_runner.takes_work(what.m_endpoint, m_clock.now()))
         return "closed";
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -13,6 +13,14 @@
 namespace
 {
 
+void set_leaving(endpoint_state& endpoint, bool leaving, base::instant now)
+{
+    if (!leaving)
+        endpoint.m_leaving_since.reset();
+    else if (!endpoint.m_leaving_since)
+        endpoint.m_leaving_since = now;
+}
+
 // True while a connection opens or a request has no answer.
 bool owes_answer(endpoint_state& endpoint)
 {
@@ -54,11 +62,11 @@
             m_log.info("endpoint_added", {{"endpoint", entry.m_id},
                                           {"group", entry.m_group},
                                           {"leaving", entry.m_leaving}});
-        else if (entry.m_leaving && !endpoint.m_leaving)
+        else if (entry.m_leaving && !endpoint.is_leaving())
             m_log.info("endpoint_leaving", {{"endpoint", entry.m_id}});
         endpoint.m_entry = entry;
         endpoint.m_listed = true;
-        endpoint.m_leaving = entry.m_leaving;
+        set_leaving(endpoint, entry.m_leaving, now);
         const auto share = shares.find(entry.m_group);
         if (share != shares.end())
             endpoint.m_pool.set_share(share->second);
@@ -74,7 +82,7 @@
                 continue;
             m_log.info("endpoint_gone", {{"endpoint", endpoint_id}});
             endpoint.m_listed = false;
-            endpoint.m_leaving = true;
+            set_leaving(endpoint, true, now);
         }
     for (auto& [id, group] : m_groups)
         for (auto item = group.m_endpoints.begin();
@@ -265,7 +273,8 @@
                                           base::instant since) const
 {
     const endpoint_state* endpoint = find_endpoint(id);
-    return endpoint != nullptr && endpoint->m_listed && !endpoint->m_leaving &&
+    return endpoint != nullptr && endpoint->m_listed &&
+           !endpoint->is_leaving() &&
            endpoint->m_health == endpoint_health::serving &&
            !endpoint->m_failures.down_since() && endpoint->m_heard > since;
 }
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -66,7 +66,7 @@
             (phase == fleet::evacuation_phase::leaving && !is_primary))
             continue;
         if (endpoint.m_health != endpoint_health::serving ||
-            (endpoint.m_leaving && !is_primary))
+            (endpoint.is_leaving() && !is_primary) || has_left(endpoint, now))
             continue;
         if (!is_primary &&
             std::find(tried.begin(), tried.end(), id) != tried.end())
@@ -107,6 +107,13 @@
     return result;
 }
 
+bool statement_runner::has_left(const endpoint_state& endpoint,
+                                base::instant now) const
+{
+    return endpoint.m_leaving_since &&
+           now - *endpoint.m_leaving_since >= m_options.m_leaving_limit;
+}
+
 bool statement_runner::is_primary_closed(const group_state& group,
                                          base::instant now) const
 {
