Keep a session's own writes of each group

Cause: a session remembered one log point of its own writes, with its group. The write at the second group replaced the point of the first. A session now keeps one point for each group in which it wrote.

Evidence: own_writes_are_kept_while_the_route_is_elsewhere fails on the parent (the replica is asked for point 200 instead of 250) and passes here.

Ruled out: the bound of the route's staleness, which the test's first point meets. Why no test showed it: no test moved a route between groups.

--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -109,9 +109,9 @@
     runner_events* m_events = nullptr;
     value_map m_values;
     std::map<std::string, prepared_statement> m_prepared;
-    // Log point of the session's last write, and its group.
-    std::optional<base::log_point> m_own_writes;
-    base::group_id m_own_group;
+    // Log point of the session's last write in each group; its route may go to
+    // another one and come back.
+    std::map<base::group_id, base::log_point> m_own_writes;
     std::deque<rpc::opaque_statement> m_inbox;
     std::optional<work> m_work;
     // Its next operation waits for a token.
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -329,10 +329,7 @@
     if (!error && !what.m_signature)
         return answer_consequence::broken;
     if (!error && position && (commit ? who.m_wrote : what.m_writes && single))
-    {
-        who.m_own_writes = *position;
-        who.m_own_group = who.m_route.m_group;
-    }
+        who.m_own_writes[who.m_route.m_group] = *position;
     if (!error)
         m_log.info(
             "statement_done",
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -46,8 +46,9 @@
     const absl::Duration staleness =
         who.m_route.m_max_staleness - m_options.m_staleness_margin;
     request.m_after = group.m_bounds.covering(now - staleness);
-    if (request.m_after && who.m_own_writes && who.m_own_group == group.m_id)
-        request.m_after = std::max(*request.m_after, *who.m_own_writes);
+    const auto own = who.m_own_writes.find(group.m_id);
+    if (request.m_after && own != who.m_own_writes.end())
+        request.m_after = std::max(*request.m_after, own->second);
     return request;
 }
 
--- a/unittests/entry/statement_test.cpp
+++ b/unittests/entry/statement_test.cpp
@@ -124,6 +124,51 @@
     cr_assert(*read->m_request.m_after >= point(1, 250));
 }
 
+// review/7: a write at another group, to which the route had moved meanwhile,
+// made a session forget its own write at the first one.
+Test(reads, own_writes_are_kept_while_the_route_is_elsewhere)
+{
+    statement_fixture f;
+    const base::group_id elsewhere("elsewhere");
+    catalogue::endpoint_entry other = f.m_platform.m_entries.front();
+    other.m_id = base::endpoint_id("other");
+    other.m_group = elsewhere;
+    f.m_platform.m_entries.push_back(other);
+    f.run(absl::Seconds(2));
+    const auto move_route = [&f](const base::group_id& group)
+    {
+        auto changed = std::make_shared<catalogue::configuration>(
+            *f.m_platform.m_configuration);
+        changed->m_version =
+            base::configuration_version(changed->m_version.value() + 1);
+        changed->m_groups[group].m_id = group;
+        changed->m_groups[group].m_max_connections = 30;
+        changed->m_routes["cuts"].m_group = group;
+        f.m_platform.configure(changed);
+        f.run(absl::Milliseconds(200));
+    };
+    const auto write = [&f](const char* endpoint, base::log_point position)
+    {
+        f.m_driver.say(3, statement_kind::write, "WRITE a b");
+        const auto request = f.m_driver.next_statement();
+        cr_assert(request.has_value());
+        cr_assert_eq(f.m_driver.endpoint_of(*request), endpoint);
+        f.m_clock.m_now = f.m_clock.m_now + absl::Milliseconds(300);
+        f.m_driver.succeed(*request, transaction_state::idle, position);
+    };
+    f.show_log_end(point(1, 200));
+    write("e0", point(1, 250));
+    move_route(elsewhere);
+    write("other", point(1, 10));
+    move_route(base::group_id("g"));
+    f.m_driver.say(3, statement_kind::read, "READ a");
+    const auto read = f.m_driver.next_statement();
+    cr_assert(read.has_value());
+    cr_assert_neq(f.m_driver.endpoint_of(*read), "e0");
+    cr_assert(read->m_request.m_after.has_value());
+    cr_assert(*read->m_request.m_after >= point(1, 250));
+}
+
 Test(reads, a_lost_read_is_repeated_elsewhere)
 {
     statement_fixture f;
