Acknowledge no commit once a replacement may not wait for it

A commit that the host had sent before could be answered later, when the reports that the replacement goes by had been given: its caller was told of a commit that the promoted replica lacks. Found by asking since when a report counts.

Cause: only new statements asked whether the primary may still be relied on; the answer to one under way was passed on whenever it came.

With synchronous replicas the answer to a commit, or to a single write, counts only while the host may rely on the primary; afterwards its outcome is unknown, as after a lost connection (commits.unconfirmed). Without them nothing changes: a promotion may lose such commits in any case.

Evidence: a_commit_is_not_acknowledged_after_the_reliance_has_lapsed fails without the check and passes with it.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -267,6 +267,9 @@
     [[nodiscard]] bool may_continue(const base::group_id& group,
                                     const base::endpoint_id& endpoint,
                                     base::instant now) const override;
+    [[nodiscard]] bool may_acknowledge(const base::group_id& group,
+                                       const base::endpoint_id& endpoint,
+                                       base::instant now) const override;
     [[nodiscard]] fleet::evacuation_phase
     evacuation(const base::failure_domain_id& domain,
                base::instant now) const override;
@@ -383,6 +386,7 @@
     promotion_candidates(const group_leadership& group,
                          const base::endpoint_id& primary,
                          base::instant now) const;
+    [[nodiscard]] std::uint32_t sync_replicas(const base::group_id& id) const;
     [[nodiscard]] handover::commit_holders
     holders_of(const base::group_id& id, const group_leadership& group,
                base::instant now) const;
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -82,6 +82,12 @@
     [[nodiscard]] virtual bool may_continue(const base::group_id& group,
                                             const base::endpoint_id& endpoint,
                                             base::instant now) const = 0;
+    // False when a replacement of the primary may not wait for this commit any
+    // more, so its caller may not be told that it will last.
+    [[nodiscard]] virtual bool
+    may_acknowledge(const base::group_id& group,
+                    const base::endpoint_id& endpoint,
+                    base::instant now) const = 0;
     // What may be done with endpoints of this failure domain.
     [[nodiscard]] virtual fleet::evacuation_phase
     evacuation(const base::failure_domain_id& domain,
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -167,6 +167,16 @@
     return candidates.empty() ? evacuated : candidates;
 }
 
+std::uint32_t fleet_service::sync_replicas(const base::group_id& id) const
+{
+    if (m_configuration == nullptr)
+        return 0;
+    const auto configured = m_configuration->m_groups.find(id);
+    return configured == m_configuration->m_groups.end()
+               ? 0
+               : configured->second.m_sync_replicas;
+}
+
 // Every listed endpoint and every lost replica of the group.
 handover::commit_holders
 fleet_service::holders_of(const base::group_id& id,
@@ -174,13 +184,9 @@
                           base::instant now) const
 {
     handover::commit_holders holders;
-    if (m_configuration == nullptr)
-        return holders;
-    const auto configured = m_configuration->m_groups.find(id);
-    if (configured == m_configuration->m_groups.end() ||
-        configured->second.m_sync_replicas == 0)
+    holders.m_sync_replicas = sync_replicas(id);
+    if (holders.m_sync_replicas == 0)
         return holders;
-    holders.m_sync_replicas = configured->second.m_sync_replicas;
     for (const auto& entry : group.m_entries)
     {
         const bool avoided =
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -278,6 +278,15 @@
            found->second.m_stopped < row->m_generation;
 }
 
+// With synchronous replicas whoever is promoted has every commit that was
+// acknowledged while hosts might use the old primary, and no later one.
+bool fleet_service::may_acknowledge(const base::group_id& id,
+                                    const base::endpoint_id& endpoint,
+                                    base::instant now) const
+{
+    return sync_replicas(id) == 0 || may_continue(id, endpoint, now);
+}
+
 bool fleet_service::is_isolated(base::instant now) const
 {
     return m_rows_known && confirmed_age(now) > m_options.m_isolated_after &&
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -328,7 +328,15 @@
     // The end of the answer without its result: the stream is broken.
     if (!error && !what.m_signature)
         return answer_consequence::broken;
-    if (!error && position && (commit ? who.m_wrote : what.m_writes && single))
+    const bool committed =
+        !error && (commit ? who.m_wrote : what.m_writes && single);
+    if (committed &&
+        !m_primaries.may_acknowledge(who.m_route.m_group, endpoint_id, now))
+    {
+        m_metrics.counter("commits.unconfirmed").add();
+        return answer_consequence::broken;
+    }
+    if (committed && position)
         who.m_own_writes[who.m_route.m_group] = *position;
     if (!error)
         m_log.info(
--- a/unittests/entry/sync_replicas_test.cpp
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -291,3 +291,41 @@
     for (std::size_t host = 0; host < w.m_fleet.m_hosts.size(); ++host)
         cr_assert_not(uses_primary(w.m_fleet, host, 7));
 }
+
+// A host that is cut off from the fleet may have a commit under way at the old
+// primary when the others replace it: the reports that they go by may be from
+// before that commit.
+Test(sync_replicas, a_commit_is_not_acknowledged_after_the_reliance_has_lapsed)
+{
+    sync_world w;
+    fake_host& cut_off = w.m_fleet.host(0);
+    cut_off.m_heard = false;
+    cut_off.m_store.m_reachable = false;
+    driver caller(cut_off);
+    caller.start(7, "settle");
+    // Writes until the host relies on the primary no more; the last one that it
+    // has sent is answered then.
+    std::optional<sent_request> last;
+    for (int passed = 0; passed < 8000; passed += 50)
+    {
+        w.m_fleet.run(absl::Milliseconds(50));
+        if (cut_off.m_host.primary(group_name))
+        {
+            if (last)
+                caller.succeed(*last);
+            caller.take_answers(7);
+            caller.say(7, rpc::statement_kind::write, "WRITE a b");
+            last = caller.next_statement();
+            cr_assert(last.has_value());
+        }
+        else if (last)
+        {
+            caller.succeed(*last);
+            last.reset();
+            cr_assert_not(caller.was_answered(7, "done signature"));
+            cr_assert(caller.was_answered(7, "err unknown_outcome"));
+            return;
+        }
+    }
+    cr_assert_fail("the host never gave the primary up");
+}
