Choose a candidate by a list read after the release

A replica that had joined just before the primary failed, and was the only one that received the last commits, was not on the holder's list, so it was not asked; a replica that restarted without its log in that time was taken for one that still had it. Found by asking since when the list is known.

With synchronous replicas the choice now needs a list that was read after the last host had released the old primary, and the holder reads one at once (fleet_follower::refresh_endpoints). It costs such a group one read of the store and its answer; other groups choose by the list they have, as before.

Evidence: a_replica_that_has_just_joined_may_have_commits fails without the wait and passes with it.

--- a/include/magnoliastack/entry/fleet_follower.hpp
+++ b/include/magnoliastack/entry/fleet_follower.hpp
@@ -47,6 +47,8 @@
     double m_confirm_configuration_latest_part = 0.8;
     // An endpoint that leaves has several seconds left.
     absl::Duration m_endpoints_interval = absl::Milliseconds(1500);
+    // The same when a new list is waited for.
+    absl::Duration m_endpoints_pause = absl::Milliseconds(50);
     // In a large fleet this many hosts of each failure domain follow the store.
     // The others learn from them by datagrams.
     std::size_t m_followers = 2;
@@ -153,6 +155,8 @@
     // Reads what has changed in the fleet's rows, or all of them when no
     // earlier reading counts any more, unless that runs already.
     void refresh_rows(base::instant now);
+    // Reads the endpoints as soon as possible.
+    void refresh_endpoints(base::instant now);
     // Reads what has changed in the operator's rows when they were confirmed
     // too long ago, unless a call that tells whether they have changed runs.
     void configuration_age(absl::Duration age, base::instant now);
--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -246,6 +246,8 @@
     // True while something waits for a reading of the rows that is newer than
     // the last one.
     [[nodiscard]] bool needs_rows(base::instant now) const;
+    // True while a promotion waits for a new list of the endpoints.
+    [[nodiscard]] bool needs_endpoints() const;
     // Newest version of the configuration that a peer has told.
     [[nodiscard]] base::configuration_version newest_configuration() const
     {
--- a/include/magnoliastack/handover/commit_evidence.hpp
+++ b/include/magnoliastack/handover/commit_evidence.hpp
@@ -5,6 +5,7 @@
 
 #include "magnoliastack/base/ids.hpp"
 #include "magnoliastack/handover/lost_replicas.hpp"
+#include "magnoliastack/rpc/fleet_store.hpp"
 #include "magnoliastack/rpc/opaque_statement.hpp"
 
 #include <cstdint>
@@ -33,8 +34,10 @@
     // Replicas that have received a commit before it is acknowledged; 0 when
     // the primary acknowledges it alone.
     std::uint32_t m_sync_replicas = 0;
-    // All listed endpoints, the primary that is replaced among them.
+    // All listed endpoints, the primary that is replaced among them, and the
+    // store's time at which the list was read.
     std::vector<commit_holder> m_listed;
+    rpc::store_instant m_listed_at;
     // Replicas that cannot be asked any more.
     std::vector<lost_replica> m_lost;
 };
--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -146,6 +146,12 @@
     {
         return m_awaited;
     }
+    // True while the choice of a candidate waits for a list of the endpoints
+    // that was read after the last host had released the old primary.
+    [[nodiscard]] bool awaits_list() const
+    {
+        return m_awaits_list;
+    }
 
 private:
     using actions = std::vector<promotion_action>;
@@ -216,8 +222,9 @@
     statechart::machine m_machine;
     base::instant m_entered;
     base::instant m_claimed;
-    // When the last host had released the old primary.
+    // When the last host had released the old primary, here and at the store.
     base::instant m_released;
+    rpc::store_instant m_released_at;
     base::instant m_asked;
     need m_need = need::none;
     // Another holder has claimed the group before and may have a promotion
@@ -239,6 +246,7 @@
     bool m_attempted_other = false;
     std::map<base::endpoint_id, known_report> m_reports;
     std::vector<base::endpoint_id> m_awaited;
+    bool m_awaits_list = false;
     // When reports were asked for last to find a replica that follows, and the
     // end of the primary's log at the request before.
     std::optional<base::instant> m_follower_asked;
--- a/lib/entry/fleet_follower.cpp
+++ b/lib/entry/fleet_follower.cpp
@@ -279,6 +279,14 @@
     return now - m_endpoints_at >= interval;
 }
 
+void fleet_follower::refresh_endpoints(base::instant now)
+{
+    if (m_has_endpoints && !m_endpoints.m_running &&
+        now >= m_endpoints.m_next &&
+        now - m_endpoints_at >= m_options.m_endpoints_pause)
+        ask_endpoints(now);
+}
+
 // Entries may be missing because the store was away when their endpoints
 // should have renewed them; those are kept for a while.
 void fleet_follower::keep_lapsed(
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -196,6 +196,7 @@
         holders.m_listed.push_back(
             {entry.m_id, avoided, m_runner->is_cold(entry.m_id, now)});
     }
+    holders.m_listed_at = m_endpoints.read_at();
     holders.m_lost = group.m_lost.all();
     return holders;
 }
--- a/lib/entry/fleet_relays.cpp
+++ b/lib/entry/fleet_relays.cpp
@@ -27,6 +27,15 @@
     m_endpoints.read(endpoints, at);
 }
 
+bool fleet_service::needs_endpoints() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(),
+                       [](const auto& item)
+                       {
+                           return item.second.m_promotion->awaits_list();
+                       });
+}
+
 void fleet_service::take_endpoints(fleet::endpoint_update update,
                                    base::instant now)
 {
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -70,6 +70,8 @@
     m_follower.set_reading_place(m_fleet.reading_place());
     if (m_fleet.needs_rows(now))
         m_follower.refresh_rows(now);
+    if (m_fleet.needs_endpoints())
+        m_follower.refresh_endpoints(now);
     m_follower.rows_age(m_fleet.confirmed_age(now), now);
     m_follower.configuration_age(m_fleet.configuration_age(now), now);
     m_follower.peer_has_configuration(m_fleet.newest_configuration(), now);
--- a/lib/handover/promotion.cpp
+++ b/lib/handover/promotion.cpp
@@ -181,6 +181,10 @@
 promotion::choose_holder(const promotion_inputs& inputs, base::instant now)
 {
     const absl::Duration passed = now - m_entered;
+    // A replica that has joined meanwhile may have commits too.
+    m_awaits_list = inputs.m_holders.m_listed_at < m_released_at;
+    if (m_awaits_list)
+        return std::nullopt;
     const endpoint_reports reports = reports_since_release();
     const commit_evidence evidence(inputs.m_holders, reports, m_old,
                                    inputs.m_leadership->m_term);
@@ -369,8 +373,12 @@
                             "the promotion chart allows the event");
     m_entered = now;
     m_awaited.clear();
+    m_awaits_list = false;
     if (event == std::string_view("released"))
+    {
         m_released = now;
+        m_released_at = inputs.m_store_latest;
+    }
     for (const auto& action : *taken)
         act(action, inputs, out, now);
 }
--- a/unittests/entry/sync_replicas_test.cpp
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -329,3 +329,22 @@
     }
     cr_assert_fail("the host never gave the primary up");
 }
+
+// Hosts read the list of the endpoints every 1.5 s, so a replica that joined
+// and received the last commits just before the crash was not asked.
+Test(sync_replicas, a_replica_that_has_just_joined_may_have_commits)
+{
+    for (int delay_ms = 0; delay_ms < 1500; delay_ms += 100)
+    {
+        sync_world w;
+        w.run(absl::Milliseconds(delay_ms));
+        catalogue::endpoint_entry joined = w.entry("e2");
+        joined.m_id = base::endpoint_id("e3");
+        joined.m_address = "e3:5";
+        w.m_fleet.m_platform.m_entries.push_back(joined);
+        w.m_group.m_received["e0"] = w.m_group.m_received["e3"] = 99;
+        w.crash_primary();
+        w.run(absl::Seconds(5));
+        cr_assert_eq(w.promoted(), "e3", "crashed after %d ms", delay_ms);
+    }
+}
--- a/unittests/handover/sync_replicas_test.cpp
+++ b/unittests/handover/sync_replicas_test.cpp
@@ -17,9 +17,12 @@
     {
         m_inputs.m_holders.m_sync_replicas = sync_replicas;
         m_inputs.m_holders.m_listed = {{old_primary}, {first}, {second}};
+        m_inputs.m_holders.m_listed_at = far_future;
         set_row(fleet::leadership_phase::serving, 1);
     }
 
+    static constexpr rpc::store_instant far_future{1'000'000'000};
+
     commit_holder& holder(const base::endpoint_id& id)
     {
         return *std::find_if(m_inputs.m_holders.m_listed.begin(),
@@ -140,6 +143,23 @@
     cr_assert_eq(f.promoted(), "first");
 }
 
+// A replica that joined after the list had been read may be the only one with
+// the last commits.
+Test(sync_replicas, a_list_from_before_the_release_is_no_evidence)
+{
+    sync_fixture f;
+    f.m_inputs.m_holders.m_listed_at = f.m_inputs.m_store_latest;
+    f.reach_choice();
+    f.report(first, false, 1, 1, 90);
+    f.report(second, false, 1, 1, 95);
+    f.run(absl::Seconds(1));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    cr_assert(f.m_promotion.awaits_list());
+    f.m_inputs.m_holders.m_listed_at = f.m_inputs.m_store_latest;
+    cr_assert_eq(f.promoted(), "second");
+    cr_assert_not(f.m_promotion.awaits_list());
+}
+
 // review/8: a replica that drained was no candidate, so its log was not asked
 // for, and one without the acknowledged commits was promoted.
 Test(sync_replicas, an_avoided_replica_with_more_commits_leads)
