--- a/include/magnoliastack/handover/promotion.hpp
+++ b/include/magnoliastack/handover/promotion.hpp
@@ -36,9 +36,9 @@
     absl::Duration m_ask_interval = absl::Milliseconds(150);
     // How long a planned change waits for a replica to catch up.
     absl::Duration m_catch_up_wait = absl::Milliseconds(1000);
-    // A primary with synchronous replicas that leaves is asked again after this
-    // whether one of them follows it closely.
-    absl::Duration m_follower_interval = absl::Milliseconds(500);
+    // A planned change with synchronous replicas begins when one of them is in
+    // step with the primary; both are asked again after this.
+    absl::Duration m_in_step_interval = absl::Milliseconds(500);
     // How long a promoted endpoint may take to lead.
     absl::Duration m_confirm_wait = absl::Seconds(4);
     // A promotion takes effect some hundred milliseconds after the platform has
@@ -103,7 +103,7 @@
     // m_candidates counts.
     commit_holders m_holders;
     // The present primary is listed and not evacuated, so a planned change may
-    // wait until a replica follows it closely.
+    // wait until a replica is in step with it.
     bool m_primary_may_stay = false;
     // Bounds of the store's time now.
     rpc::store_instant m_store_earliest;
@@ -202,10 +202,10 @@
     [[nodiscard]] std::optional<base::endpoint_id>
     best_candidate(const promotion_inputs& inputs, base::instant now) const;
     [[nodiscard]] endpoint_reports reports_since_release() const;
-    bool has_follower(const promotion_inputs& inputs, actions& out,
-                      base::instant now);
+    bool has_replica_in_step(const promotion_inputs& inputs, actions& out,
+                             base::instant now);
     [[nodiscard]] std::optional<rpc::endpoint_report>
-    follower_report(const base::endpoint_id& endpoint) const;
+    report_of_round(const base::endpoint_id& endpoint) const;
     [[nodiscard]] bool may_lead(const base::endpoint_id& id,
                                 const promotion_inputs& inputs,
                                 base::instant now) const;
@@ -247,10 +247,10 @@
     std::map<base::endpoint_id, known_report> m_reports;
     std::vector<base::endpoint_id> m_awaited;
     bool m_awaits_list = false;
-    // When reports were asked for last to find a replica that follows, and the
-    // end of the primary's log at the request before.
-    std::optional<base::instant> m_follower_asked;
-    std::optional<base::log_point> m_end_to_follow;
+    // When the last round of requests before a planned change began, and the
+    // end of the primary's log in the round before.
+    std::optional<base::instant> m_round_asked;
+    std::optional<base::log_point> m_end_before;
     bool m_change_running = false;
     std::optional<bool> m_change_applied;
     bool m_promote_running = false;
