Ask of a lost replica's stand-in all that the primary has shown

Cause, from the logs: g1-e0 crashed and its entry was seen to be gone at 13.68 s. It started again while the store was away, so no host saw its entry, received commits from position 489 on, and crashed a second time. At the choice g1-e1, at 488, had everything from before the loss that hosts knew of, so g1-e0 counted as not needed. An endpoint without an entry may still run, and what the primary acknowledges through it comes after its loss.

A lost replica is now needed unless another one has all that the primary has shown to any host: every commit that a live host has acknowledged lies before that (shown_end, from this host and the others' last reports, which come with their releases). A lost replica is forgotten 60 s after its loss at the earliest. The lookup of the group comes after the check that anything is lost.

Evidence: a_lost_replica_may_have_received_commits_since_its_loss and a_lost_replica_that_went_on_receiving_is_waited_for fail without the new bound and pass with it. Ruled out: the choice without synchronous replicas, and a report from before the release; the choice fell when the list that had been read after the release was there.

Groups without synchronous replicas do not go this way.

--- a/include/magnoliastack/entry/fleet_service.hpp
+++ b/include/magnoliastack/entry/fleet_service.hpp
@@ -392,6 +392,7 @@
     [[nodiscard]] handover::commit_holders
     holders_of(const base::group_id& id, const group_leadership& group,
                base::instant now) const;
+    [[nodiscard]] base::log_point shown_end(const base::group_id& id) const;
     void follow_lost_replicas(const base::group_id& id, group_leadership& group,
                               base::instant now) const;
     void tell_awaited(const base::group_id& id, group_leadership& group,
--- a/include/magnoliastack/handover/commit_evidence.hpp
+++ b/include/magnoliastack/handover/commit_evidence.hpp
@@ -40,6 +40,9 @@
     rpc::store_instant m_listed_at;
     // Replicas that cannot be asked any more.
     std::vector<lost_replica> m_lost;
+    // The furthest end of the primary's log that it has shown to any host, so
+    // not before any commit that a live host has acknowledged.
+    base::log_point m_shown_end;
 };
 
 // Reports that were asked for after the last host had released the primary.
--- a/include/magnoliastack/handover/lost_replicas.hpp
+++ b/include/magnoliastack/handover/lost_replicas.hpp
@@ -6,6 +6,8 @@
 #include "magnoliastack/base/time.hpp"
 #include "magnoliastack/catalogue/endpoint_entry.hpp"
 
+#include "absl/time/time.h"
+
 #include <optional>
 #include <vector>
 
@@ -25,12 +27,24 @@
     std::optional<base::log_point> m_covered_by;
 };
 
+// Times of lost replicas.
+struct lost_replica_options
+{
+    // A replica that has been lost for so long is gone for good.
+    absl::Duration m_memory = absl::Seconds(60);
+};
+
 // A lost replica may have been the only one with a commit that was acknowledged
-// before its loss. It is remembered until another replica is known to have
-// everything up to its loss.
+// before its loss, or since when it still runs. It is remembered until another
+// replica is known to have everything up to its loss and it is gone for good.
 class lost_replicas
 {
 public:
+    explicit lost_replicas(lost_replica_options options = {})
+        : m_options(options)
+    {
+    }
+
     // The list of the group's endpoints has changed.
     void entries_changed(const std::vector<catalogue::endpoint_entry>& before,
                          const std::vector<catalogue::endpoint_entry>& after,
@@ -39,7 +53,7 @@
     // log.
     void primary_observed(base::log_point end, base::instant sent);
     // A replica has received the log up to this point.
-    void replica_observed(base::log_point received);
+    void replica_observed(base::log_point received, base::instant now);
 
     [[nodiscard]] const std::vector<lost_replica>& all() const
     {
@@ -47,6 +61,7 @@
     }
 
 private:
+    lost_replica_options m_options;
     std::vector<lost_replica> m_lost;
 };
 
--- a/lib/entry/fleet_handover.cpp
+++ b/lib/entry/fleet_handover.cpp
@@ -198,24 +198,47 @@
     }
     holders.m_listed_at = m_endpoints.read_at();
     holders.m_lost = group.m_lost.all();
+    holders.m_shown_end = shown_end(id);
     return holders;
 }
 
+// The furthest end of the primary's log that this host or, by its last report,
+// another one has seen.
+base::log_point fleet_service::shown_end(const base::group_id& id) const
+{
+    base::log_point end;
+    const group_state* state = m_runner->find_group(id);
+    if (state != nullptr)
+        if (const auto newest = state->m_bounds.newest())
+            end = newest->m_point;
+    for (const auto& [host, item] : m_members.all())
+    {
+        if (!item.m_report)
+            continue;
+        for (const auto& report : item.m_report->m_groups)
+            if (report.m_group == id)
+                end = std::max(end, report.m_covered);
+    }
+    return end;
+}
+
 // What hosts learn of the primary's and the replicas' logs while they serve
 // tells which lost replicas matter no more.
 void fleet_service::follow_lost_replicas(const base::group_id& id,
                                          group_leadership& group,
                                          base::instant now) const
 {
+    if (group.m_lost.all().empty())
+        return;
     const group_state* state = m_runner->find_group(id);
     const auto leader = primary(id, now);
-    if (group.m_lost.all().empty() || state == nullptr || !leader)
+    if (state == nullptr || !leader)
         return;
     if (const auto newest = state->m_bounds.newest())
         group.m_lost.primary_observed(newest->m_point, newest->m_sent);
     for (const auto& [endpoint, known] : state->m_endpoints)
         if (endpoint != *leader && known.m_listed && known.m_position)
-            group.m_lost.replica_observed(*known.m_position);
+            group.m_lost.replica_observed(*known.m_position, now);
 }
 
 // Says which endpoints a group without a primary waits for, at first and then
--- a/lib/handover/commit_evidence.cpp
+++ b/lib/handover/commit_evidence.cpp
@@ -63,12 +63,16 @@
         return true;
     if (!lost.m_covered_by)
         return false;
+    // An endpoint without an entry may still run, or have run again unseen, and
+    // have received commits after its loss.
+    const base::log_point needed =
+        std::max(*lost.m_covered_by, m_holders.m_shown_end);
     return std::any_of(m_reports.begin(), m_reports.end(),
-                       [this, &lost](const auto& item)
+                       [this, needed](const auto& item)
                        {
                            return item.first != m_old_primary &&
                                   item.second.m_term >= m_published &&
-                                  item.second.m_received >= *lost.m_covered_by;
+                                  item.second.m_received >= needed;
                        });
 }
 
--- a/lib/handover/lost_replicas.cpp
+++ b/lib/handover/lost_replicas.cpp
@@ -77,13 +77,15 @@
             lost.m_covered_by = end;
 }
 
-void lost_replicas::replica_observed(base::log_point received)
+void lost_replicas::replica_observed(base::log_point received,
+                                     base::instant now)
 {
     std::erase_if(m_lost,
-                  [received](const lost_replica& lost)
+                  [this, received, now](const lost_replica& lost)
                   {
                       return lost.m_covered_by &&
-                             received >= *lost.m_covered_by;
+                             received >= *lost.m_covered_by &&
+                             now - lost.m_since >= m_options.m_memory;
                   });
 }
 
--- a/unittests/entry/sync_replicas_test.cpp
+++ b/unittests/entry/sync_replicas_test.cpp
@@ -198,6 +198,31 @@
     cr_assert_eq(w.promoted(), "e2");
 }
 
+// Soak seed 945: what hosts have seen of the primary's log tells that a replica
+// that is gone from the list has received commits since.
+Test(sync_replicas, a_lost_replica_that_went_on_receiving_is_waited_for)
+{
+    sync_world w;
+    w.m_group.m_received["e2"] = 100;
+    const auto entry = w.take_entry("e1");
+    w.run(absl::Milliseconds(2500));
+    cr_assert(uses_primary(w.m_fleet, 0, 7));
+    w.run(absl::Milliseconds(500));
+    w.m_group.m_received["e0"] = w.m_group.m_received["e1"] = 120;
+    driver caller(w.m_fleet.host(1));
+    caller.start(8, "settle");
+    caller.say(8, rpc::statement_kind::write, "WRITE a b");
+    const auto write = caller.next_statement();
+    cr_assert(write.has_value());
+    caller.succeed(*write, rpc::transaction_state::idle, point(1, 120));
+    w.crash_primary();
+    w.run(absl::Seconds(6));
+    cr_assert_eq(w.promotions(), 0);
+    w.m_fleet.m_platform.m_entries.push_back(entry);
+    w.run(absl::Seconds(4));
+    cr_assert_eq(w.promoted(), "e1");
+}
+
 // The old primary has everything that it has acknowledged.
 Test(sync_replicas, an_old_primary_that_is_back_goes_on)
 {
--- a/unittests/handover/lost_replicas_test.cpp
+++ b/unittests/handover/lost_replicas_test.cpp
@@ -103,13 +103,15 @@
     lost_replicas lost;
     lost.entries_changed(all, two, at(10));
     lost.primary_observed(point(80), at(5));
-    lost.replica_observed(point(90));
+    lost.replica_observed(point(90), at(61'000));
     cr_assert_eq(lost.all().size(), 1);
     cr_assert_not(lost.all()[0].m_covered_by.has_value());
     lost.primary_observed(point(95), at(20));
     lost.primary_observed(point(99), at(30));
-    lost.replica_observed(point(94));
+    lost.replica_observed(point(94), at(61'000));
     cr_assert_eq(lost.all().size(), 1);
-    lost.replica_observed(point(95));
+    lost.replica_observed(point(95), at(59'000));
+    cr_assert_eq(lost.all().size(), 1, "it may still run");
+    lost.replica_observed(point(95), at(61'000));
     cr_assert(lost.all().empty());
 }
--- a/unittests/handover/sync_replicas_test.cpp
+++ b/unittests/handover/sync_replicas_test.cpp
@@ -212,6 +212,22 @@
     cr_assert_eq(f.promoted(), "second");
 }
 
+// Soak seed 945: a replica whose entry was gone ran again while the store was
+// away, received more commits and crashed; another one with all from before the
+// loss was promoted without them.
+Test(sync_replicas, a_lost_replica_may_have_received_commits_since_its_loss)
+{
+    sync_fixture f;
+    f.lose(first, point(1, 80));
+    f.m_inputs.m_holders.m_shown_end = point(1, 95);
+    f.reach_choice();
+    f.report(second, false, 1, 1, 80);
+    f.run(absl::Seconds(1));
+    cr_assert_eq(f.m_promotion.state(), "choosing");
+    f.report(second, false, 1, 1, 95);
+    cr_assert_eq(f.promoted(), "second");
+}
+
 // The old primary has every commit that it acknowledged, whoever else is
 // silent.
 Test(sync_replicas, the_old_primary_that_is_back_ends_the_wait)
