--- a/review/standin-3/odd_service.cpp
+++ b/review/standin-3/odd_service.cpp
@@ -1,6 +1,6 @@
 // A machine is stopped as planned; meanwhile the directory holds, for the time
-// between two heartbeats, an entry of another writer under the id of a replica,
-// with a service that is not named. TROUBLE=0 leaves the entry out.
+// between two heartbeats, entries of another writer under the ids of the
+// replicas, with a service that is not named. TROUBLE=0 leaves them out.
 #include "world.hpp"
 
 using namespace review;
@@ -10,12 +10,14 @@
 
 constexpr int host_count = 8;
 constexpr int tenants = 8;
-constexpr long work_ms = 24;
+constexpr double work_ms = 24;
 constexpr milliseconds heartbeat{1200};
 constexpr milliseconds route_timeout{5000};
 constexpr milliseconds deadline{10000};
 constexpr milliseconds loss_slack{200};
 constexpr milliseconds unanswered_after{2000};
+// Fewer mean that the deployment did not work.
+constexpr int least_served = 1000;
 
 struct attempt
 {
@@ -177,11 +179,14 @@
     record out(words[1]);
     store rows;
     rows.put("op", "config", configuration());
-    database data("inlay-ledger", rows, out, 3, work_ms);
+    database data({"inlay-ledger", 3, 9, work_ms, 60}, rows, out);
     promotions platform(data, out);
     hosts fleet(host_count, rows.address(), platform.address(), 6);
     if (!fleet.wait_ready(20))
-        return 2;
+    {
+        fleet.~hosts();
+        std::_Exit(2);
+    }
     out.line("all hosts are ready");
     std::vector<std::thread> threads;
     for (int host = 0; host < host_count; ++host)
@@ -198,8 +203,7 @@
             auto next = clock::now();
             while (!ends)
             {
-                for (int copy = 0; copy < 3; ++copy)
-                    data.heartbeat(data.at(copy));
+                data.heartbeats();
                 next += heartbeat;
                 std::this_thread::sleep_until(next);
             }
@@ -216,9 +220,12 @@
                                       milliseconds(50));
         if (is_calm)
             continue;
-        const auto& item = data.at(1);
-        out.line("another writer's entry under " + item.m_id);
-        rows.put("servers", item.m_id, data.entry(item, "not-named-here"));
+        for (const std::size_t replica : {1, 2})
+        {
+            const auto& item = data.at(replica);
+            out.line("another writer's entry under " + item.m_id);
+            rows.put("servers", item.m_id, data.entry(item, "not-named-here"));
+        }
     }
     while (!fleet.has_ended(0) && clock::now() < stopped + milliseconds(7000))
         sleep_ms(20);
@@ -249,9 +256,9 @@
              "ended, " +
              std::to_string(lost) + " lost at the planned stop");
     std::fflush(nullptr);
-    if (served < 1000)
-        return 2;
     // The stand-ins' threads end with the process.
     fleet.~hosts();
+    if (served < least_served)
+        std::_Exit(2);
     std::_Exit(lost > 0 ? 1 : 0);
 }
--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <condition_variable>
 #include <csignal>
 #include <cstdio>
@@ -130,24 +131,14 @@
                std::to_string(m_acceptor->local_endpoint().port());
     }
 
-    // Ends the threads; call it once, before the end of the process.
-    void stop()
-    {
-        m_stopped = true;
-        ::shutdown(m_acceptor->native_handle(), SHUT_RDWR);
-        m_thread.join();
-    }
-
 private:
     void run()
     {
-        while (!m_stopped)
+        while (true)
         {
             auto socket = std::make_shared<tcp::socket>(m_loop);
             beast::error_code error;
             m_acceptor->accept(*socket, error);
-            if (m_stopped)
-                return;
             if (error)
                 continue;
             socket->set_option(tcp::no_delay(true), error);
@@ -158,7 +149,6 @@
     handler m_serve;
     asio::io_context m_loop;
     std::unique_ptr<tcp::acceptor> m_acceptor;
-    std::atomic<bool> m_stopped = false;
     std::thread m_thread;
 };
 
@@ -193,11 +183,6 @@
         m_changed.notify_all();
     }
 
-    void stop()
-    {
-        m_server.stop();
-    }
-
 private:
     static std::string parameter(const std::string& target,
                                  const std::string& name)
@@ -376,34 +361,103 @@
     return word;
 }
 
-// One service: a primary and replicas that follow 20 ms behind.
+// Work that a backend does at the same time; the rest waits, or is refused when
+// too much waits.
+class slots
+{
+public:
+    slots(int count, int queue) : m_free(count), m_queue(queue)
+    {
+    }
+
+    bool take()
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_free == 0 && m_waiting >= m_queue)
+            return false;
+        ++m_waiting;
+        m_changed.wait(lock,
+                       [this]
+                       {
+                           return m_free > 0;
+                       });
+        --m_waiting;
+        --m_free;
+        return true;
+    }
+
+    void give_back()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_free;
+        m_changed.notify_one();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_free;
+    int m_queue;
+    int m_waiting = 0;
+};
+
+// One service: a primary and replicas that follow 20 ms behind. A promoted
+// backend leads the next term with what it had received; the old primary goes
+// on until STEPDOWN, or until a second later.
 class database
 {
 public:
     struct backend
     {
+        backend(std::string id, int slot_count)
+            : m_id(std::move(id)), m_slots(slot_count, 40)
+        {
+        }
+
         std::string m_id;
+        slots m_slots;
+        std::atomic<int> m_slowness = 1;
+        // Guarded by the database's mutex.
+        bool m_leads = false;
+        std::uint64_t m_term = 1;
+        std::uint64_t m_number = 1;
         std::unique_ptr<server> m_server;
-        std::atomic<bool> m_draining = false;
     };
 
-    database(std::string service, store& rows, record& out, int copies,
-             long work_ms)
-        : m_service(std::move(service)), m_rows(rows), m_out(out),
-          m_work_ms(work_ms)
+    // A write that took effect.
+    struct committed
+    {
+        std::string m_id;
+        std::string m_backend;
+        clock::time_point m_at;
+        // Another backend led a newer term already.
+        bool m_outdated = false;
+    };
+
+    struct options
+    {
+        std::string m_service;
+        int m_copies = 3;
+        int m_slots = 5;
+        double m_work_ms = 33;
+        double m_longest_work_ms = 82;
+    };
+
+    database(options chosen, store& rows, record& out)
+        : m_options(std::move(chosen)), m_rows(rows), m_out(out)
     {
         m_history.emplace_back(clock::now(), 1);
-        for (int copy = 0; copy < copies; ++copy)
+        for (int copy = 0; copy < m_options.m_copies; ++copy)
         {
-            auto& added = m_backends.emplace_back(std::make_unique<backend>());
-            added->m_id = "i-" + std::to_string(7000 + copy);
+            auto& added = m_backends.emplace_back(std::make_unique<backend>(
+                "i-" + std::to_string(7000 + copy), m_options.m_slots));
             added->m_server = std::make_unique<server>(
                 [this, at = added.get()](std::shared_ptr<tcp::socket> socket)
                 {
                     serve(*at, *socket);
                 });
         }
-        m_primary = m_backends.front()->m_id;
+        m_backends.front()->m_leads = true;
         for (const auto& item : m_backends)
             heartbeat(*item);
     }
@@ -417,16 +471,17 @@
     std::string entry(const backend& item, const std::string& service = "")
     {
         const std::lock_guard lock(m_mutex);
-        return json{{"service", service.empty() ? m_service : service},
-                    {"addr", item.m_server->address()},
-                    {"zone", "rvk-a"},
-                    {"slots", 5},
-                    {"seq", ++m_seq},
-                    {"state", item.m_draining ? "draining" : "ready"},
-                    {"born", 1774500000000},
-                    {"version", "v1"},
-                    {"cold_left_ms", 0},
-                    {"db_role", item.m_id == m_primary ? "primary" : "replica"}}
+        return json{
+            {"service", service.empty() ? m_options.m_service : service},
+            {"addr", item.m_server->address()},
+            {"zone", "z0"},
+            {"slots", m_options.m_slots},
+            {"seq", ++m_seq},
+            {"state", "ready"},
+            {"born", 1774500000000},
+            {"version", "v1"},
+            {"cold_left_ms", 0},
+            {"db_role", item.m_leads ? "primary" : "replica"}}
             .dump();
     }
 
@@ -435,35 +490,71 @@
         m_rows.put("servers", item.m_id, entry(item));
     }
 
+    void heartbeats()
+    {
+        for (const auto& item : m_backends)
+            heartbeat(*item);
+    }
+
     void promote(const std::string& id)
     {
         {
             const std::lock_guard lock(m_mutex);
-            if (m_primary == id)
+            backend* chosen = nullptr;
+            for (const auto& item : m_backends)
+                if (item->m_id == id)
+                    chosen = item.get();
+            if (chosen == nullptr || is_platform_primary(id))
                 return;
-            m_primary = id;
-            ++m_term;
+            chosen->m_number = received(*chosen);
+            chosen->m_leads = true;
+            chosen->m_term = ++m_term;
+            m_leader = id;
+            m_history = {{clock::now(), chosen->m_number}};
         }
-        m_out.line("promoted " + id);
-        for (const auto& item : m_backends)
-            heartbeat(*item);
+        m_out.line("promotion of " + id + " has taken effect");
+        heartbeats();
+        std::thread(
+            [this]
+            {
+                sleep_ms(1000);
+                step_down_older();
+            })
+            .detach();
     }
 
-    void stop()
+    std::vector<committed> commits()
     {
-        for (const auto& item : m_backends)
-            item->m_server->stop();
+        const std::lock_guard lock(m_mutex);
+        return m_commits;
     }
 
-    std::string m_service;
-    std::atomic<bool> m_ends = false;
-
 private:
-    std::uint64_t position(const backend& item)
+    // The first backend leads until the first promotion.
+    [[nodiscard]] bool is_platform_primary(const std::string& id) const
     {
-        const std::lock_guard lock(m_mutex);
-        if (item.m_id == m_primary)
-            return m_history.back().second;
+        return id == (m_leader.empty() ? m_backends.front()->m_id : m_leader);
+    }
+
+    void step_down_older()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto& item : m_backends)
+                if (item->m_term < m_term)
+                {
+                    item->m_leads = false;
+                    item->m_term = m_term;
+                }
+        }
+        heartbeats();
+    }
+
+    // What a replica has of the newest leader's log.
+    std::uint64_t received(const backend& item)
+    {
+        if (item.m_leads)
+            return item.m_number;
         const auto until = clock::now() - milliseconds(20);
         std::uint64_t result = m_history.front().second;
         for (const auto& [when, number] : m_history)
@@ -474,24 +565,53 @@
         return result;
     }
 
-    std::string ready(const backend& item, char state)
+    std::string point(backend& item)
     {
-        const auto number = position(item);
         const std::lock_guard lock(m_mutex);
-        return std::string("READY ") + state + " " + std::to_string(m_term) +
-               "." + std::to_string(number) + "\r\n";
+        const auto term = item.m_leads ? item.m_term : m_term;
+        return std::to_string(term) + "." + std::to_string(received(item));
     }
 
-    bool is_primary(const backend& item)
+    bool lacks(backend& item, const std::string& asked)
     {
+        const auto dot = asked.find('.');
+        const auto term = std::stoull(asked.substr(0, dot));
+        const auto number = std::stoull(asked.substr(dot + 1));
         const std::lock_guard lock(m_mutex);
-        return item.m_id == m_primary;
+        const auto own = item.m_leads ? item.m_term : m_term;
+        return own < term || (own == term && received(item) < number);
     }
 
-    void commit()
+    bool leads(const backend& item)
     {
         const std::lock_guard lock(m_mutex);
-        m_history.emplace_back(clock::now(), m_history.back().second + 1);
+        return item.m_leads;
+    }
+
+    // False when the backend has lost the lead.
+    bool commit(backend& item, const std::string& id)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!item.m_leads)
+            return false;
+        ++item.m_number;
+        const bool outdated = item.m_term < m_term;
+        if (!outdated)
+            m_history.emplace_back(clock::now(), item.m_number);
+        m_commits.push_back({id, item.m_id, clock::now(), outdated});
+        m_out.line(item.m_id + " commits " + id +
+                   (outdated ? " though a newer term is led elsewhere" : ""));
+        return true;
+    }
+
+    void work(const backend& item)
+    {
+        thread_local std::mt19937 random{std::random_device{}()};
+        std::lognormal_distribution<double> drawn(
+            std::log(m_options.m_work_ms) - 0.2, 0.63);
+        sleep_ms(static_cast<long>(
+            std::min(drawn(random), m_options.m_longest_work_ms) *
+            item.m_slowness));
     }
 
     void serve(backend& item, tcp::socket& socket)
@@ -502,22 +622,30 @@
             return;
         const std::string service = take_word(*start);
         const std::string who = take_word(*start);
-        sleep_ms(12);
-        if (service != m_service || (!start->empty() && *start != item.m_id))
+        if (service != m_options.m_service ||
+            (!start->empty() && *start != item.m_id))
         {
             send_text(socket, "ERR MOVED another\r\n");
             return;
         }
+        if (!item.m_slots.take())
+        {
+            send_text(socket, "ERR BUSY -\r\n");
+            return;
+        }
+        sleep_ms(12);
+        item.m_slots.give_back();
         char state = 'I';
         bool wrote = false;
-        send_text(socket, ready(item, state));
+        send_text(socket, "READY I " + point(item) + "\r\n");
         while (auto line = lines.next())
         {
             if (take_word(*line) != "QUERY")
                 return;
             const std::string id = take_word(*line);
             const std::string reply = run(item, who, id, *line, state, wrote);
-            if (!send_text(socket, reply + ready(item, state)))
+            if (!send_text(socket, reply + "READY " + state + " " +
+                                       point(item) + "\r\n"))
                 return;
         }
     }
@@ -530,31 +658,15 @@
         std::string verb = take_word(text);
         if (verb == "AFTER")
         {
-            const std::string point = take_word(text);
-            const auto dot = point.find('.');
-            const auto number = std::stoull(point.substr(dot + 1));
-            if (position(item) < number)
+            if (lacks(item, take_word(text)))
                 return "ERR LAGGING -\r\n";
             verb = take_word(text);
         }
         if (verb == "STATUS")
-        {
-            const auto number = position(item);
-            const bool primary = is_primary(item);
-            const std::lock_guard lock(m_mutex);
-            const std::string term = std::to_string(m_term);
-            return std::string("ROW ") + (primary ? "primary " : "replica ") +
-                   term + " " + term + "." + std::to_string(number) + " " +
-                   term + " 0 0 10\r\nDONE -\r\n";
-        }
+            return status(item);
         if (verb == "STEPDOWN")
-            return "DONE -\r\n";
-        if (verb == "BEGIN")
         {
-            if (text != "READ" && !is_primary(item))
-                return "ERR READONLY " + m_primary + "\r\n";
-            state = 'T';
-            wrote = false;
+            step_down_older();
             return "DONE -\r\n";
         }
         if (verb == "ROLLBACK")
@@ -562,41 +674,63 @@
             state = 'I';
             return "DONE -\r\n";
         }
-        const bool is_write = verb == "WRITE";
-        if (is_write && !is_primary(item))
+        const bool begins = verb == "BEGIN";
+        if (((begins && text != "READ") || verb == "WRITE") && !leads(item))
+            return read_only(state);
+        if (begins)
         {
-            if (state == 'T')
-                state = 'E';
-            return "ERR READONLY " + m_primary + "\r\n";
+            state = 'T';
+            wrote = false;
+            return "DONE -\r\n";
         }
+        if (verb != "READ" && verb != "WRITE" && verb != "COMMIT")
+            return "DONE -\r\n";
+        if (!item.m_slots.take())
+            return "ERR BUSY -\r\n";
+        work(item);
+        item.m_slots.give_back();
+        const bool writes = verb == "WRITE" && state == 'I';
+        if ((writes || (verb == "COMMIT" && wrote)) && !commit(item, id))
+            return read_only(state);
+        wrote = wrote || verb == "WRITE";
         if (verb == "COMMIT")
-        {
-            if (wrote)
-                commit();
             state = 'I';
-        }
-        else if (verb == "READ" || is_write)
-            sleep_ms(m_work_ms);
-        if (is_write && state == 'T')
-            wrote = true;
-        else if (is_write)
-            commit();
         if (id != "-")
-            m_out.line(item.m_id + " runs " + id + " for " + who + ": " +
+            m_out.line(item.m_id + " has run " + id + " for " + who + ": " +
                        whole);
         return (verb == "READ" ? "ROW pearl\r\n" : "") +
                std::string("DONE s.") + item.m_id + "." + id + "\r\n";
     }
 
+    static std::string read_only(char& state)
+    {
+        if (state == 'T')
+            state = 'E';
+        return "ERR READONLY -\r\n";
+    }
+
+    std::string status(backend& item)
+    {
+        if (!item.m_slots.take())
+            return "ERR BUSY -\r\n";
+        item.m_slots.give_back();
+        const std::string end = point(item);
+        const std::lock_guard lock(m_mutex);
+        const auto term = std::to_string(item.m_leads ? item.m_term : m_term);
+        return std::string("ROW ") + (item.m_leads ? "primary " : "replica ") +
+               term + " " + end + " " + term + " 0 0 10\r\nDONE -\r\n";
+    }
+
+    options m_options;
     store& m_rows;
     record& m_out;
-    long m_work_ms;
     std::mutex m_mutex;
     std::vector<std::unique_ptr<backend>> m_backends;
-    std::string m_primary;
+    std::string m_leader;
     std::uint64_t m_term = 1;
     std::uint64_t m_seq = 0;
     std::deque<std::pair<clock::time_point, std::uint64_t>> m_history;
+    std::vector<committed> m_commits;
 };
 
 // The platform's calls: a promotion takes effect after 300 ms.
@@ -618,11 +752,6 @@
         return m_server.address();
     }
 
-    void stop()
-    {
-        m_server.stop();
-    }
-
 private:
     void serve(tcp::socket& socket)
     {
