--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -419,8 +419,11 @@
         std::atomic<int> m_slowness = 1;
         // Guarded by the database's mutex.
         bool m_leads = false;
+        bool m_down = false;
         std::uint64_t m_term = 1;
         std::uint64_t m_number = 1;
+        std::int64_t m_born = 1774500000000;
+        std::vector<std::shared_ptr<tcp::socket>> m_sockets;
         std::unique_ptr<server> m_server;
     };
 
@@ -454,7 +457,10 @@
             added->m_server = std::make_unique<server>(
                 [this, at = added.get()](std::shared_ptr<tcp::socket> socket)
                 {
+                    if (!admit(*at, socket))
+                        return;
                     serve(*at, *socket);
+                    forget(*at, socket);
                 });
         }
         m_backends.front()->m_leads = true;
@@ -478,7 +484,7 @@
             {"slots", m_options.m_slots},
             {"seq", ++m_seq},
             {"state", "ready"},
-            {"born", 1774500000000},
+            {"born", item.m_born},
             {"version", "v1"},
             {"cold_left_ms", 0},
             {"db_role", item.m_leads ? "primary" : "replica"}}
@@ -487,6 +493,11 @@
 
     void heartbeat(const backend& item)
     {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (item.m_down)
+                return;
+        }
         m_rows.put("servers", item.m_id, entry(item));
     }
 
@@ -523,6 +534,34 @@
             .detach();
     }
 
+    // Its process ends: connections close, and new ones too until it starts.
+    void crash(backend& item)
+    {
+        const std::lock_guard lock(m_mutex);
+        item.m_down = true;
+        for (const auto& socket : item.m_sockets)
+            ::shutdown(socket->native_handle(), SHUT_RDWR);
+        m_out.line(item.m_id + " crashes");
+    }
+
+    void start(backend& item)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            item.m_down = false;
+            item.m_born += 60'000;
+            m_out.line(item.m_id + " is back");
+        }
+        heartbeat(item);
+    }
+
+    // Tells of each caller's statement, and of the transaction of the
+    // connection that it ran in, 0 for none.
+    void on_run(std::function<void(const std::string& id, std::uint64_t)> told)
+    {
+        m_on_run = std::move(told);
+    }
+
     std::vector<committed> commits()
     {
         const std::lock_guard lock(m_mutex);
@@ -530,6 +569,20 @@
     }
 
 private:
+    bool admit(backend& item, const std::shared_ptr<tcp::socket>& socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!item.m_down)
+            item.m_sockets.push_back(socket);
+        return !item.m_down;
+    }
+
+    void forget(backend& item, const std::shared_ptr<tcp::socket>& socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase(item.m_sockets, socket);
+    }
+
     // The first backend leads until the first promotion.
     [[nodiscard]] bool is_platform_primary(const std::string& id) const
     {
@@ -637,13 +690,15 @@
         item.m_slots.give_back();
         char state = 'I';
         bool wrote = false;
+        std::uint64_t transaction = 0;
         send_text(socket, "READY I " + point(item) + "\r\n");
         while (auto line = lines.next())
         {
             if (take_word(*line) != "QUERY")
                 return;
             const std::string id = take_word(*line);
-            const std::string reply = run(item, who, id, *line, state, wrote);
+            const std::string reply =
+                run(item, who, id, *line, state, wrote, transaction);
             if (!send_text(socket, reply + "READY " + state + " " +
                                        point(item) + "\r\n"))
                 return;
@@ -652,7 +707,7 @@
 
     std::string run(backend& item, const std::string& who,
                     const std::string& id, std::string text, char& state,
-                    bool& wrote)
+                    bool& wrote, std::uint64_t& transaction)
     {
         const std::string whole = text;
         std::string verb = take_word(text);
@@ -677,8 +732,16 @@
         const bool begins = verb == "BEGIN";
         if (((begins && text != "READ") || verb == "WRITE") && !leads(item))
             return read_only(state);
+        // As magnolia-entry itself answers its callers.
+        if (begins && state != 'I')
+        {
+            m_out.line(item.m_id + " refuses a BEGIN inside transaction " +
+                       std::to_string(transaction));
+            return "ERR MALFORMED a transaction is open\r\n";
+        }
         if (begins)
         {
+            transaction = ++m_last_transaction;
             state = 'T';
             wrote = false;
             return "DONE -\r\n";
@@ -689,6 +752,7 @@
             return "ERR BUSY -\r\n";
         work(item);
         item.m_slots.give_back();
+        const std::uint64_t inside = state == 'T' ? transaction : 0;
         const bool writes = verb == "WRITE" && state == 'I';
         if ((writes || (verb == "COMMIT" && wrote)) && !commit(item, id))
             return read_only(state);
@@ -696,8 +760,12 @@
         if (verb == "COMMIT")
             state = 'I';
         if (id != "-")
+        {
             m_out.line(item.m_id + " has run " + id + " for " + who + ": " +
                        whole);
+            if (m_on_run)
+                m_on_run(id, inside);
+        }
         return (verb == "READ" ? "ROW pearl\r\n" : "") +
                std::string("DONE s.") + item.m_id + "." + id + "\r\n";
     }
@@ -729,6 +797,8 @@
     std::string m_leader;
     std::uint64_t m_term = 1;
     std::uint64_t m_seq = 0;
+    std::atomic<std::uint64_t> m_last_transaction = 0;
+    std::function<void(const std::string&, std::uint64_t)> m_on_run;
     std::deque<std::pair<clock::time_point, std::uint64_t>> m_history;
     std::vector<committed> m_commits;
 };
