--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/standin-3/*.cpp; do
+for source in review/standin-3/*.cc; do
     "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -o \
-        "target/review-3/$(basename "$source" .cpp)" "$source" -lpthread
+        "target/review-3/$(basename "$source" .cc)" "$source" -lpthread
 done
--- a/review/standin-3/odd_service.cpp
+++ b/review/standin-3/odd_service.cc
@@ -1,7 +1,7 @@
 // A machine is stopped as planned; meanwhile the directory holds, for the time
 // between two heartbeats, entries of another writer under the ids of the
 // replicas, with a service that is not named. TROUBLE=0 leaves them out.
-#include "world.hpp"
+#include "world.h"
 
 using namespace review;
 
--- a/review/standin-3/returning_replica.cpp
+++ b/review/standin-3/returning_replica.cc
@@ -1,6 +1,6 @@
 // Replicas of a service crash and come back, while statements wait for a
 // connection. TROUBLE=0 leaves the crashes out.
-#include "world.hpp"
+#include "world.h"
 
 using namespace review;
 
