--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -108,7 +108,8 @@
     return acceptor.local_endpoint().port();
 }
 
-// Accepts connections and serves each in a thread of its own.
+// Accepts connections and serves each in a thread of its own. While it is
+// closed it refuses them.
 class server
 {
 public:
@@ -118,6 +119,7 @@
     {
         m_acceptor = std::make_unique<tcp::acceptor>(
             m_loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        m_where = m_acceptor->local_endpoint();
         m_thread = std::thread(
             [this]
             {
@@ -127,8 +129,19 @@
 
     [[nodiscard]] std::string address() const
     {
-        return "127.0.0.1:" +
-               std::to_string(m_acceptor->local_endpoint().port());
+        return "127.0.0.1:" + std::to_string(m_where.port());
+    }
+
+    void close()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed = true;
+        ::shutdown(m_acceptor->native_handle(), SHUT_RDWR);
+    }
+
+    void open()
+    {
+        m_closed = false;
     }
 
 private:
@@ -139,6 +152,8 @@
             auto socket = std::make_shared<tcp::socket>(m_loop);
             beast::error_code error;
             m_acceptor->accept(*socket, error);
+            if (m_closed)
+                reopen();
             if (error)
                 continue;
             socket->set_option(tcp::no_delay(true), error);
@@ -146,9 +161,33 @@
         }
     }
 
+    // Waits for open() and listens at the same address again.
+    void reopen()
+    {
+        m_acceptor->close();
+        while (m_closed)
+            sleep_ms(5);
+        while (true)
+        {
+            const std::lock_guard lock(m_mutex);
+            try
+            {
+                m_acceptor = std::make_unique<tcp::acceptor>(m_loop, m_where);
+                return;
+            }
+            catch (const boost::system::system_error&)
+            {
+                sleep_ms(5);
+            }
+        }
+    }
+
     handler m_serve;
     asio::io_context m_loop;
     std::unique_ptr<tcp::acceptor> m_acceptor;
+    tcp::endpoint m_where;
+    std::mutex m_mutex;
+    std::atomic<bool> m_closed = false;
     std::thread m_thread;
 };
 
@@ -361,8 +400,8 @@
     return word;
 }
 
-// Work that a backend does at the same time; the rest waits, or is refused when
-// too much waits.
+// Work that a backend does at the same time; the rest waits in its order, or is
+// refused when too much waits.
 class slots
 {
 public:
@@ -373,16 +412,17 @@
     bool take()
     {
         std::unique_lock lock(m_mutex);
-        if (m_free == 0 && m_waiting >= m_queue)
+        if (m_free == 0 && m_last - m_first >= m_queue)
             return false;
-        ++m_waiting;
+        const int number = m_last++;
         m_changed.wait(lock,
-                       [this]
+                       [this, number]
                        {
-                           return m_free > 0;
+                           return m_free > 0 && m_first == number;
                        });
-        --m_waiting;
+        ++m_first;
         --m_free;
+        m_changed.notify_all();
         return true;
     }
 
@@ -390,7 +430,7 @@
     {
         const std::lock_guard lock(m_mutex);
         ++m_free;
-        m_changed.notify_one();
+        m_changed.notify_all();
     }
 
 private:
@@ -398,7 +438,9 @@
     std::condition_variable m_changed;
     int m_free;
     int m_queue;
-    int m_waiting = 0;
+    // Numbers of the first that waits and of the next to come.
+    int m_first = 0;
+    int m_last = 0;
 };
 
 // One service: a primary and replicas that follow 20 ms behind. A promoted
@@ -410,7 +452,7 @@
     struct backend
     {
         backend(std::string id, int slot_count)
-            : m_id(std::move(id)), m_slots(slot_count, 40)
+            : m_id(std::move(id)), m_slots(slot_count, 24)
         {
         }
 
@@ -444,6 +486,7 @@
         int m_slots = 5;
         double m_work_ms = 33;
         double m_longest_work_ms = 82;
+        std::size_t m_max_conns = 21;
     };
 
     database(options chosen, store& rows, record& out)
@@ -534,11 +577,13 @@
             .detach();
     }
 
-    // Its process ends: connections close, and new ones too until it starts.
+    // Its process ends: connections close, and new ones are refused until it
+    // starts.
     void crash(backend& item)
     {
         const std::lock_guard lock(m_mutex);
         item.m_down = true;
+        item.m_server->close();
         for (const auto& socket : item.m_sockets)
             ::shutdown(socket->native_handle(), SHUT_RDWR);
         m_out.line(item.m_id + " crashes");
@@ -550,14 +595,22 @@
             const std::lock_guard lock(m_mutex);
             item.m_down = false;
             item.m_born += 60'000;
+            item.m_server->open();
             m_out.line(item.m_id + " is back");
         }
         heartbeat(item);
     }
 
-    // Tells of each caller's statement, and of the transaction of the
-    // connection that it ran in, 0 for none.
-    void on_run(std::function<void(const std::string& id, std::uint64_t)> told)
+    // A transaction of a connection; number 0 is none.
+    struct transaction
+    {
+        std::uint64_t m_number = 0;
+        clock::time_point m_begun;
+    };
+
+    // Tells of each caller's statement, and of the transaction that it ran in.
+    void
+    on_run(std::function<void(const std::string& id, const transaction&)> told)
     {
         m_on_run = std::move(told);
     }
@@ -577,6 +630,12 @@
         return !item.m_down;
     }
 
+    bool has_too_many(const backend& item)
+    {
+        const std::lock_guard lock(m_mutex);
+        return item.m_sockets.size() > m_options.m_max_conns;
+    }
+
     void forget(backend& item, const std::shared_ptr<tcp::socket>& socket)
     {
         const std::lock_guard lock(m_mutex);
@@ -681,6 +740,11 @@
             send_text(socket, "ERR MOVED another\r\n");
             return;
         }
+        if (has_too_many(item))
+        {
+            send_text(socket, "ERR MAXCONN -\r\n");
+            return;
+        }
         if (!item.m_slots.take())
         {
             send_text(socket, "ERR BUSY -\r\n");
@@ -690,7 +754,7 @@
         item.m_slots.give_back();
         char state = 'I';
         bool wrote = false;
-        std::uint64_t transaction = 0;
+        transaction opened;
         send_text(socket, "READY I " + point(item) + "\r\n");
         while (auto line = lines.next())
         {
@@ -698,7 +762,7 @@
                 return;
             const std::string id = take_word(*line);
             const std::string reply =
-                run(item, who, id, *line, state, wrote, transaction);
+                run(item, who, id, *line, state, wrote, opened);
             if (!send_text(socket, reply + "READY " + state + " " +
                                        point(item) + "\r\n"))
                 return;
@@ -707,7 +771,7 @@
 
     std::string run(backend& item, const std::string& who,
                     const std::string& id, std::string text, char& state,
-                    bool& wrote, std::uint64_t& transaction)
+                    bool& wrote, transaction& opened)
     {
         const std::string whole = text;
         std::string verb = take_word(text);
@@ -736,12 +800,14 @@
         if (begins && state != 'I')
         {
             m_out.line(item.m_id + " refuses a BEGIN inside transaction " +
-                       std::to_string(transaction));
+                       std::to_string(opened.m_number));
             return "ERR MALFORMED a transaction is open\r\n";
         }
         if (begins)
         {
-            transaction = ++m_last_transaction;
+            opened = {++m_last_transaction, clock::now()};
+            m_out.line(item.m_id + " begins transaction " +
+                       std::to_string(opened.m_number) + " for " + who);
             state = 'T';
             wrote = false;
             return "DONE -\r\n";
@@ -752,7 +818,7 @@
             return "ERR BUSY -\r\n";
         work(item);
         item.m_slots.give_back();
-        const std::uint64_t inside = state == 'T' ? transaction : 0;
+        const transaction inside = state == 'T' ? opened : transaction();
         const bool writes = verb == "WRITE" && state == 'I';
         if ((writes || (verb == "COMMIT" && wrote)) && !commit(item, id))
             return read_only(state);
@@ -798,7 +864,7 @@
     std::uint64_t m_term = 1;
     std::uint64_t m_seq = 0;
     std::atomic<std::uint64_t> m_last_transaction = 0;
-    std::function<void(const std::string&, std::uint64_t)> m_on_run;
+    std::function<void(const std::string&, const transaction&)> m_on_run;
     std::deque<std::pair<clock::time_point, std::uint64_t>> m_history;
     std::vector<committed> m_commits;
 };
