Runner: no handler of an event is entered from within another

Cause: handlers went on with a connection after a call that may place, close or free it. statement_runner::opened tells endpoint_answered that the endpoint is back; that placed waiting work at once, on the very connection that had just opened. opened then found an owner and started its statement a second time: two BEGINs, the refusal of the second was taken for "not begun", and the connection went back to the pool inside a transaction. A waiting statement of another organisation closed the connection instead; opened went on with freed memory and took the owner of the connection that had been opened in its place, so that its statement had no connection that any time-out looked at.

Change: while an event is handled, ended statements, lost transactions, groups with waiting work and connections that were given back are only noted. They are dealt with once, when the outermost event_scope ends. The services' own events open a scope too, so that they are not entered again either (admit_next went on with a session that an ended statement could close). m_placing and the list of ended forwarded sessions, which guarded against parts of this, are gone. Loops that close connections go over numbers, not pointers.

Ruled out: a check in opened alone, since the other places have the same shape.

--- a/include/magnoliastack/entry/endpoint_pool.hpp
+++ b/include/magnoliastack/entry/endpoint_pool.hpp
@@ -83,6 +83,8 @@
     // Connections that run something or open.
     [[nodiscard]] std::size_t busy() const;
     [[nodiscard]] std::vector<connection*> all();
+    // The numbers of all connections, for callers that may close some.
+    [[nodiscard]] std::vector<base::connection_generation> numbers() const;
 
 private:
     pool_options m_options;
--- a/include/magnoliastack/entry/forwarding_service.hpp
+++ b/include/magnoliastack/entry/forwarding_service.hpp
@@ -110,8 +110,6 @@
     logging::logger m_log{"forwarding"};
     std::map<peer_number, served_work> m_served;
     absl::flat_hash_map<rpc::session_number, peer_number> m_numbers;
-    // Sessions that have ended within a call of the runner.
-    std::vector<std::unique_ptr<session>> m_ended;
     std::map<base::host_id, base::incarnation> m_incarnations;
     // Hosts that have sent statements on the present streams.
     std::set<base::host_id> m_senders;
--- a/include/magnoliastack/entry/group_state.hpp
+++ b/include/magnoliastack/entry/group_state.hpp
@@ -101,8 +101,6 @@
     std::deque<rpc::session_number> m_waiting;
     // An endpoint did not answer, or failed what it ran, at the last tick.
     bool m_troubled = false;
-    // Set while these are being placed, which may free further connections.
-    bool m_placing = false;
 };
 
 } // namespace magnoliastack::entry
--- a/include/magnoliastack/entry/session.hpp
+++ b/include/magnoliastack/entry/session.hpp
@@ -41,6 +41,13 @@
     running,
 };
 
+// How a statement ended.
+struct statement_result
+{
+    std::optional<rpc::statement_error> m_error;
+    std::string m_text;
+};
+
 // A statement that an endpoint has to run.
 struct work
 {
@@ -72,6 +79,8 @@
     std::optional<base::log_point> m_answered_position;
     // The endpoint has refused to begin the transaction.
     bool m_begin_refused = false;
+    // Set when it has ended, until its receiver is told.
+    std::optional<statement_result> m_result;
 };
 
 // One caller's connection. It is also the caller's session: its values,
@@ -119,6 +128,12 @@
     base::instant m_started;
     base::instant m_last_activity;
 
+    // True while a statement has no result.
+    [[nodiscard]] bool is_working() const
+    {
+        return m_work && !m_work->m_result;
+    }
+
     // True when a statement of the open transaction has run.
     [[nodiscard]] bool is_pinned() const
     {
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -14,10 +14,14 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace magnoliastack::entry
 {
@@ -94,14 +98,8 @@
                base::instant now) const = 0;
 };
 
-// How a statement ended.
-struct statement_result
-{
-    std::optional<rpc::statement_error> m_error;
-    std::string m_text;
-};
-
-// Receives the end of each statement.
+// Receives the end of each statement. Called when the runner's present event is
+// over (see event_scope), so the receiver may submit, end and forget sessions.
 class runner_events
 {
 public:
@@ -117,9 +115,28 @@
 
 // Places statements, opens connections, replays values and prepared statements
 // and repeats what is known not to have run.
+//
+// No handler of an event is entered from within another one: while an event is
+// handled, ended statements and groups with waiting work are only noted. Both
+// are dealt with when the event is over, since either may place work on, close
+// or open the connections that a handler is using.
 class statement_runner final : public rpc::statement_events
 {
 public:
+    // The handling of one event by the runner or by one of its callers. The
+    // outermost scope settles what was noted meanwhile.
+    class event_scope
+    {
+    public:
+        explicit event_scope(statement_runner& runner);
+        ~event_scope();
+        event_scope(const event_scope&) = delete;
+        event_scope& operator=(const event_scope&) = delete;
+
+    private:
+        statement_runner& m_runner;
+    };
+
     statement_runner(runner_options options, rpc::statement_link& link,
                      const primary_source& primaries, runner_events& events,
                      metrics::registry& metrics, const base::clock& clock);
@@ -160,8 +177,8 @@
     void evacuation_ended(const base::failure_domain_id& domain,
                           base::instant now);
 
-    // Runs the session's m_work; runner_events::work_finished follows, perhaps
-    // from within the call.
+    // Runs the session's m_work; runner_events::work_finished follows, at the
+    // earliest when the present event is over.
     void submit(session& who, base::instant now);
 
     // The session's transaction is over without a commit.
@@ -177,8 +194,9 @@
     // Deadlines, silence and what waits. Call it every 50 ms or less.
     void tick(base::instant now);
 
-    // Tries the waiting statements of a group, after its primary changed.
-    void place_waiting(const base::group_id& group, base::instant now);
+    // Has the waiting statements of a group tried once more, when the present
+    // event is over.
+    void place_waiting(const base::group_id& group);
 
     // Closes the connections to an endpoint that is not to be used any more.
     // Statements on them end as their loss requires.
@@ -281,6 +299,20 @@
         end,
     };
 
+    // A session to be told that its statement has ended or that its transaction
+    // was lost between two statements.
+    struct notice
+    {
+        rpc::session_number m_session;
+        bool m_transaction_lost = false;
+    };
+
+    void settle(base::instant now);
+    void deliver(const notice& what, base::instant now);
+    void place_group(const base::group_id& id, base::instant now);
+    void close_unneeded();
+    [[nodiscard]] runner_events& receiver_of(const session& who) const;
+    void note_transaction_lost(const session& who);
     bool place(session& who, bool may_open, base::instant now);
     bool place_required(session& who, bool may_open, base::instant now);
     void refuse(session& who, const group_state& group,
@@ -289,7 +321,7 @@
     [[nodiscard]] static bool is_waiting(const session& who);
     [[nodiscard]] std::vector<rpc::session_number>
     waiting_in_order(const group_state& group) const;
-    void wait(session& who, base::instant now);
+    void wait(session& who);
     [[nodiscard]] const endpoint_state*
     find_endpoint(const base::endpoint_id& endpoint) const;
     void follow_cold(endpoint_state& endpoint,
@@ -326,7 +358,7 @@
     void refuse_excluded(session& who, const group_state& group,
                          const placement_request& request,
                          const std::vector<placement_candidate>& choices,
-                         const base::endpoint_id& excluded, base::instant now);
+                         const base::endpoint_id& excluded);
     void send_unsent(endpoint_state& endpoint, base::instant now);
     void use(session& who, endpoint_state& endpoint, base::instant now);
     bool forward(session& who, endpoint_state& endpoint, base::instant now);
@@ -372,8 +404,7 @@
                          base::instant now);
     bool begin_refused(session& who, const base::endpoint_id& endpoint,
                        rpc::statement_error error, base::instant now);
-    void begin_given_up(session& who, rpc::statement_error error,
-                        base::instant now);
+    void begin_given_up(session& who, rpc::statement_error error);
     answer_consequence judge_answer(session& who,
                                     const base::endpoint_id& endpoint_id,
                                     std::optional<rpc::statement_error> error,
@@ -391,7 +422,7 @@
     bool try_again(session& who, const base::endpoint_id& endpoint,
                    const char* cause, base::instant now);
     void finish(session& who, std::optional<rpc::statement_error> error,
-                std::string_view text, base::instant now);
+                std::string_view text);
     void endpoint_failed(endpoint_state& endpoint, const char* cause,
                          base::instant now);
     void endpoint_answered(endpoint_state& endpoint, base::instant now);
@@ -405,6 +436,9 @@
     void start_control(connection& on, base::instant now);
     connection* find(base::connection_generation number);
     session* owner_of(const connection& item);
+    // The session whose statement has no result yet and is on the connection,
+    // or null.
+    session* working_on(const connection& item);
     const std::string& prepared_name(const prepared_statement& what);
 
     runner_options m_options;
@@ -418,6 +452,12 @@
     absl::flat_hash_map<base::endpoint_id, base::group_id> m_group_of;
     absl::flat_hash_map<base::connection_generation, connection*> m_connections;
     absl::flat_hash_map<rpc::session_number, session*> m_sessions;
+    // Scopes of the present event, and what is to be settled after it.
+    std::size_t m_open_scopes = 0;
+    std::deque<notice> m_notices;
+    std::set<base::group_id> m_groups_to_place;
+    // Connections that were given back and are closed if nobody takes them.
+    std::vector<base::connection_generation> m_released;
     // Requests of the host itself that wait for their connection's opening or
     // answer.
     absl::flat_hash_map<base::connection_generation, control_request>
--- a/lib/entry/endpoint_pool.cpp
+++ b/lib/entry/endpoint_pool.cpp
@@ -121,6 +121,15 @@
                       }));
 }
 
+std::vector<base::connection_generation> endpoint_pool::numbers() const
+{
+    std::vector<base::connection_generation> result;
+    result.reserve(m_connections.size());
+    for (const auto& [number, item] : m_connections)
+        result.push_back(number);
+    return result;
+}
+
 std::vector<connection*> endpoint_pool::all()
 {
     std::vector<connection*> result;
--- a/lib/entry/fleet_evacuation.cpp
+++ b/lib/entry/fleet_evacuation.cpp
@@ -80,6 +80,7 @@
 // fleet that do not follow the store know it from their peers alone.
 void fleet_service::evacuations_changed(const char* source, base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     const auto& known = m_evacuations.set();
     for (const auto& [domain, item] : known.m_domains)
     {
@@ -120,7 +121,7 @@
     {
         if (!is_quiet(id, group))
             replace_primary(id, group, now);
-        m_runner->place_waiting(id, now);
+        m_runner->place_waiting(id);
     }
 }
 
--- a/lib/entry/fleet_reports.cpp
+++ b/lib/entry/fleet_reports.cpp
@@ -217,6 +217,7 @@
 
 void fleet_service::datagram_received(std::string_view bytes)
 {
+    const statement_runner::event_scope event(*m_runner);
     const auto now = m_links.m_clock.now();
     auto what = fleet::decode(bytes);
     if (!what)
--- a/lib/entry/fleet_service.cpp
+++ b/lib/entry/fleet_service.cpp
@@ -22,6 +22,7 @@
 
 void fleet_service::tick(bool store_reachable, base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     m_store_reachable = store_reachable;
     if (m_leaving)
         return;
@@ -225,6 +226,7 @@
 // Carries out what changed leaderships ask of this host.
 void fleet_service::follow_leadership(base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     for (auto& [id, group] : m_groups)
     {
         if (!group.m_row || group.m_followed == group.m_version)
@@ -236,7 +238,7 @@
             continue;
         if (group_state* state = m_runner->find_group(id))
             state->m_bounds.term_changed(group.m_row->m_term);
-        m_runner->place_waiting(id, now);
+        m_runner->place_waiting(id);
     }
 }
 
--- a/lib/entry/forwarding_service.cpp
+++ b/lib/entry/forwarding_service.cpp
@@ -65,6 +65,7 @@
                                           base::incarnation incarnation,
                                           rpc::forwarding_message message)
 {
+    const statement_runner::event_scope event(m_runner);
     const auto now = m_clock.now();
     follow_incarnation(from, incarnation, now);
     std::visit(
@@ -291,14 +292,12 @@
         remove(what, now);
 }
 
-// The runner may be using the session still, so it is kept until the next tick.
 void forwarding_service::remove(const peer_number& what, base::instant now)
 {
     const auto found = m_served.find(what);
+    m_runner.forget(*found->second.m_session, now);
     m_numbers.erase(found->second.m_session->m_number);
-    m_ended.push_back(std::move(found->second.m_session));
     m_served.erase(found);
-    m_runner.forget(*m_ended.back(), now);
 }
 
 void forwarding_service::drop_all_of(const base::host_id& host,
@@ -321,6 +320,7 @@
 
 void forwarding_service::incoming_stream_lost(const base::host_id& host)
 {
+    const statement_runner::event_scope event(m_runner);
     m_senders.erase(host);
     drop_all_of(host, m_clock.now());
 }
@@ -343,7 +343,7 @@
 
 void forwarding_service::tick(base::instant now)
 {
-    m_ended.clear();
+    const statement_runner::event_scope event(m_runner);
     notice_pause(now);
     std::vector<peer_number> late;
     for (const auto& [key, item] : m_served)
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -26,6 +26,7 @@
 void statement_runner::opened(base::connection_generation number,
                               std::optional<base::log_point> position)
 {
+    const event_scope event(*this);
     const auto now = m_clock.now();
     connection* item = find(number);
     if (item == nullptr)
@@ -42,8 +43,8 @@
         start_control(*item, now);
         return;
     }
-    session* who = owner_of(*item);
-    if (who == nullptr || !who->m_work || who->m_work->m_connection != number)
+    session* who = working_on(*item);
+    if (who == nullptr)
     {
         release(*item, now);
         return;
@@ -54,6 +55,7 @@
 void statement_runner::rejected(base::connection_generation number,
                                 statement_error error)
 {
+    const event_scope event(*this);
     const auto now = m_clock.now();
     connection* item = find(number);
     if (item == nullptr)
@@ -82,10 +84,9 @@
 // of connections that nobody holds for 3 s.
 void statement_runner::opening_rejected(connection& item, base::instant now)
 {
-    session* who = owner_of(item);
-    const bool waits = who != nullptr && who->m_work &&
-                       who->m_work->m_connection == item.m_number &&
-                       who->m_work->m_stage == work_stage::connecting;
+    session* who = working_on(item);
+    const bool waits =
+        who != nullptr && who->m_work->m_stage == work_stage::connecting;
     if (!waits)
     {
         connection_lost(item, now);
@@ -96,8 +97,8 @@
     who->m_work->m_stage = work_stage::waiting;
     who->m_work->m_connection = {};
     who->m_work->m_not_before = now + m_options.m_busy_pause;
-    wait(*who, now);
-    place_waiting(who->m_route.m_group, now);
+    wait(*who);
+    place_waiting(who->m_route.m_group);
 }
 
 void statement_runner::row_received(base::connection_generation number,
@@ -107,9 +108,8 @@
     if (item == nullptr)
         return;
     item->m_heard = m_clock.now();
-    session* who = owner_of(*item);
-    if (who != nullptr && who->m_work && who->m_work->m_connection == number &&
-        !item->m_awaited.empty() &&
+    session* who = working_on(*item);
+    if (who != nullptr && !item->m_awaited.empty() &&
         item->m_awaited.front().m_what == awaited::statement)
         who->m_work->m_rows.push_back(std::move(row));
 }
@@ -120,9 +120,8 @@
     connection* item = find(number);
     if (item == nullptr)
         return;
-    session* who = owner_of(*item);
-    if (who != nullptr && who->m_work && who->m_work->m_connection == number &&
-        !item->m_awaited.empty() &&
+    session* who = working_on(*item);
+    if (who != nullptr && !item->m_awaited.empty() &&
         item->m_awaited.front().m_what == awaited::statement)
         who->m_work->m_signature = std::move(signature);
 }
@@ -134,8 +133,8 @@
     if (item == nullptr)
         return;
     item->m_failure = error;
-    session* who = owner_of(*item);
-    if (who != nullptr && who->m_work)
+    session* who = working_on(*item);
+    if (who != nullptr)
         who->m_work->m_failure_text = std::move(text);
 }
 
@@ -153,6 +152,7 @@
         endpoint->m_position = report.m_received;
         endpoint->m_position_at = m_clock.now();
     }
+    // Last, since the receiver may use any connection.
     const report_callback done = found->second.m_done;
     if (done)
         done(report);
@@ -162,6 +162,7 @@
                                       transaction_state state,
                                       std::optional<base::log_point> position)
 {
+    const event_scope event(*this);
     const auto now = m_clock.now();
     connection* item = find(number);
     if (item == nullptr)
@@ -179,7 +180,7 @@
     answer_ended(*item, state, position, now);
     // A statement of a transaction leaves room too, but frees no connection.
     if (endpoint != nullptr && endpoint->m_pace.is_warming_up())
-        place_waiting(endpoint->m_entry.m_group, now);
+        place_waiting(endpoint->m_entry.m_group);
 }
 
 // What a statement's end tells about an endpoint.
@@ -267,11 +268,11 @@
     who.m_work->m_begin_refused = true;
     const bool again = begin_refused(who, on.m_endpoint, error, now);
     on.m_owner.reset();
-    if (again)
-        wait(who, now);
     release(on, now);
-    if (!again)
-        begin_given_up(who, error, now);
+    if (again)
+        wait(who);
+    else
+        begin_given_up(who, error);
 }
 
 // True when the transaction is to be placed again.
@@ -289,11 +290,10 @@
     return again;
 }
 
-void statement_runner::begin_given_up(session& who, statement_error error,
-                                      base::instant now)
+void statement_runner::begin_given_up(session& who, statement_error error)
 {
     finish(who, is_not_run(error) ? error : statement_error::aborted,
-           "the transaction could not begin", now);
+           "the transaction could not begin");
 }
 
 // What an answer says about the endpoint, the session's own writes and whether
@@ -368,7 +368,7 @@
         judge_answer(who, on.m_endpoint, error, position, now);
     if (consequence == answer_consequence::repeat)
     {
-        wait(who, now);
+        wait(who);
         release(on, now);
         return;
     }
@@ -398,11 +398,9 @@
         who.m_pinned = on.m_number;
         roll_back(who, now);
     }
-    const auto number = on.m_number;
-    finish(who, error, what.m_failure_text, now);
-    connection* still = find(number);
-    if (still != nullptr && still->is_idle())
-        release(*still, now);
+    finish(who, error, what.m_failure_text);
+    if (on.is_idle())
+        release(on, now);
 }
 
 // Only the primary's answers say what has been committed. This host relies on
@@ -428,6 +426,7 @@
 void statement_runner::connection_closed(base::connection_generation number,
                                          bool refused)
 {
+    const event_scope event(*this);
     const auto now = m_clock.now();
     connection* item = find(number);
     if (item == nullptr)
@@ -446,26 +445,19 @@
 void statement_runner::connection_lost(connection& item, base::instant now)
 {
     session* who = owner_of(item);
+    const bool works = working_on(item) != nullptr;
     const auto number = item.m_number;
     const base::endpoint_id endpoint = item.m_endpoint;
     // A statement that still waited for the cold endpoint was not sent.
-    if (who != nullptr && who->m_work && who->m_work->m_connection == number &&
-        item.m_unsent > 0)
+    if (works && item.m_unsent > 0)
         who->m_work->m_stage = work_stage::preparing;
     close(item);
-    if (who == nullptr)
-        return;
-    if (who->m_work && who->m_work->m_connection == number)
-    {
+    if (works)
         work_lost(*who, endpoint, now);
-        return;
-    }
-    if (who->m_pinned == number)
+    else if (who != nullptr && who->m_pinned == number)
     {
         who->m_pinned.reset();
-        runner_events& receiver =
-            who->m_events == nullptr ? m_events : *who->m_events;
-        receiver.transaction_lost(*who, now);
+        note_transaction_lost(*who);
     }
 }
 
@@ -496,13 +488,13 @@
     if (uncertain)
     {
         finish(who, statement_error::unknown_outcome,
-               "the connection was lost before the answer", now);
+               "the connection was lost before the answer");
         return;
     }
     if (pinned)
     {
         finish(who, statement_error::aborted,
-               "the connection of the transaction was lost", now);
+               "the connection of the transaction was lost");
         return;
     }
     const bool forwarded = what.m_forwarded.has_value();
@@ -512,12 +504,12 @@
         // the endpoint.
         if (!forwarded)
             what.m_not_before = now + m_options.m_busy_pause;
-        wait(who, now);
-        place_waiting(who.m_route.m_group, now);
+        wait(who);
+        place_waiting(who.m_route.m_group);
         return;
     }
     finish(who, single ? statement_error::busy : statement_error::aborted,
-           "no endpoint answered", now);
+           "no endpoint answered");
 }
 
 } // namespace magnoliastack::entry
--- a/lib/entry/runner_forwarding.cpp
+++ b/lib/entry/runner_forwarding.cpp
@@ -155,7 +155,7 @@
     if (found == m_forwarded.end())
     {
         who.m_pinned_forward.reset();
-        finish(who, statement_error::aborted, "the transaction was lost", now);
+        finish(who, statement_error::aborted, "the transaction was lost");
         return;
     }
     work& what = *who.m_work;
@@ -218,7 +218,7 @@
     if (found == m_sessions.end())
         return;
     session& who = *found->second;
-    if (who.m_work && who.m_work->m_forwarded == number)
+    if (who.is_working() && who.m_work->m_forwarded == number)
     {
         // The endpoint may have been asked to run it.
         who.m_holds_token = false;
@@ -228,7 +228,7 @@
     if (who.m_pinned_forward == number)
     {
         who.m_pinned_forward.reset();
-        m_events.transaction_lost(who, now);
+        note_transaction_lost(who);
     }
 }
 
@@ -236,6 +236,7 @@
                                           rpc::forwarded_answer answer,
                                           base::instant now)
 {
+    const event_scope event(*this);
     const auto number = answer.m_number;
     const auto found = m_forwarded.find(number);
     if (found == m_forwarded.end() || !found->second.m_awaited ||
@@ -246,7 +247,7 @@
     }
     stop_awaiting(found->second);
     const auto owner = m_sessions.find(found->second.m_owner);
-    if (owner == m_sessions.end() || !owner->second->m_work ||
+    if (owner == m_sessions.end() || !owner->second->is_working() ||
         owner->second->m_work->m_forwarded != number)
     {
         remove_forwarded(number);
@@ -267,7 +268,7 @@
     // Only the holder that had the transaction could go on with it.
     who.m_pinned_forward.reset();
     m_metrics.counter("forwarded.transactions_lost").add();
-    finish(who, statement_error::aborted, "the transaction was lost", now);
+    finish(who, statement_error::aborted, "the transaction was lost");
 }
 
 // Nothing of the statement was sent to the endpoint, so this uses none of its
@@ -318,11 +319,11 @@
         remove_forwarded(number);
         if (!begin_refused(who, endpoint_id, *error, now))
         {
-            begin_given_up(who, *error, now);
+            begin_given_up(who, *error);
             return;
         }
-        wait(who, now);
-        place_waiting(who.m_route.m_group, now);
+        wait(who);
+        place_waiting(who.m_route.m_group);
         return;
     }
     who.m_holds_token = false;
@@ -336,8 +337,8 @@
     if (consequence == answer_consequence::repeat)
     {
         remove_forwarded(number);
-        wait(who, now);
-        place_waiting(who.m_route.m_group, now);
+        wait(who);
+        place_waiting(who.m_route.m_group);
         return;
     }
     if (!single && !commit && !error &&
@@ -351,7 +352,7 @@
         who.m_pinned_forward.reset();
         remove_forwarded(number);
     }
-    finish(who, error, what.m_failure_text, now);
+    finish(who, error, what.m_failure_text);
 }
 
 // The endpoint is there. Requests of this host's own that have no answer are
@@ -368,6 +369,7 @@
                                                   forwarding_number number,
                                                   base::instant now)
 {
+    const event_scope event(*this);
     const auto found = m_forwarded.find(number);
     // A statement that was sent meanwhile gets an answer of its own.
     if (found == m_forwarded.end() || found->second.m_awaited ||
@@ -382,6 +384,7 @@
 void statement_runner::holder_lost(const base::host_id& host, bool refused,
                                    base::instant now)
 {
+    const event_scope event(*this);
     std::vector<std::pair<forwarding_number, forwarded_work>> lost;
     for (const auto& [number, at] : m_forwarded)
         if (at.m_holder.m_host == host)
@@ -396,7 +399,8 @@
     for (const auto& [number, at] : lost)
     {
         const auto found = m_sessions.find(at.m_owner);
-        if (refused && found != m_sessions.end() && found->second->m_work &&
+        if (refused && found != m_sessions.end() &&
+            found->second->is_working() &&
             found->second->m_work->m_forwarded == number &&
             found->second->m_pinned_forward != number)
         {
@@ -416,7 +420,7 @@
     for (const auto& [number, at] : m_forwarded)
     {
         const auto found = m_sessions.find(at.m_owner);
-        if (found != m_sessions.end() && found->second->m_work &&
+        if (found != m_sessions.end() && found->second->is_working() &&
             found->second->m_work->m_forwarded == number &&
             now >= found->second->m_work->m_deadline)
             late.emplace_back(number, found->second);
@@ -446,7 +450,7 @@
     if (endpoint == nullptr || !endpoint->m_listed ||
         endpoint->m_health != endpoint_health::serving)
     {
-        finish(who, statement_error::busy, "unreachable", now);
+        finish(who, statement_error::busy, "unreachable");
         return true;
     }
     const bool has_room = endpoint->m_pace.has_room(endpoint->in_flight());
@@ -458,7 +462,7 @@
         (!can_connect && endpoint->m_pool.find_idle(who.m_organisation,
                                                     who.m_values) == nullptr))
     {
-        wait(who, now);
+        wait(who);
         return false;
     }
     use(who, *endpoint, now);
@@ -467,7 +471,7 @@
 
 bool statement_runner::withdraw(session& who, base::instant /*now*/)
 {
-    if (!who.m_work)
+    if (!who.is_working())
         return false;
     const work_stage stage = who.m_work->m_stage;
     if (stage == work_stage::connecting)
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -36,6 +36,7 @@
     const std::vector<catalogue::endpoint_entry>& entries,
     const std::map<base::group_id, std::size_t>& shares, base::instant now)
 {
+    const event_scope event(*this);
     std::set<base::endpoint_id> listed;
     for (const auto& entry : entries)
     {
@@ -102,8 +103,8 @@
                 for (connection* item : endpoint.m_pool.all())
                     if (item->is_idle())
                         close(*item);
-    for (auto& [id, group] : m_groups)
-        place_waiting(id, now);
+    for (const auto& [id, group] : m_groups)
+        place_waiting(id);
 }
 
 void statement_runner::warm_up(endpoint_state& endpoint,
@@ -163,15 +164,13 @@
 void statement_runner::drop_connections(const base::endpoint_id& id,
                                         base::instant now)
 {
+    const event_scope event(*this);
     endpoint_state* endpoint = find_endpoint(id);
     if (endpoint == nullptr)
         return;
-    for (const connection* item : endpoint->m_pool.all())
-    {
-        connection* still = find(item->m_number);
-        if (still != nullptr)
-            connection_lost(*still, now);
-    }
+    for (const auto number : endpoint->m_pool.numbers())
+        if (connection* item = find(number))
+            connection_lost(*item, now);
     std::vector<rpc::forwarding_number> forwarded;
     for (const auto& [number, at] : m_forwarded)
         if (at.m_endpoint == id)
@@ -296,6 +295,7 @@
 
 void statement_runner::tick(base::instant now)
 {
+    const event_scope event(*this);
     forgive_pause(now);
     check_running(now);
     check_forwarded(now);
@@ -317,7 +317,7 @@
         if (group.m_waiting.empty())
             continue;
         check_waiting(group, now);
-        place_waiting(id, now);
+        place_waiting(id);
     }
 }
 
@@ -335,7 +335,7 @@
     for (const auto number : waiting)
     {
         const auto found = m_sessions.find(number);
-        if (found == m_sessions.end() || !found->second->m_work)
+        if (found == m_sessions.end() || !found->second->is_working())
             continue;
         session& who = *found->second;
         const work& what = *who.m_work;
@@ -344,7 +344,7 @@
              now - what.m_arrived < m_options.m_longest_wait))
             continue;
         m_metrics.counter("refused.queue_timeout").add();
-        finish(who, statement_error::busy, "no connection became free", now);
+        finish(who, statement_error::busy, "no connection became free");
     }
 }
 
@@ -355,10 +355,8 @@
     std::vector<connection*> late;
     for (auto& [number, item] : m_connections)
     {
-        const session* who = owner_of(*item);
-        if (who != nullptr && who->m_work &&
-            who->m_work->m_connection == number &&
-            now >= who->m_work->m_deadline)
+        const session* who = working_on(*item);
+        if (who != nullptr && now >= who->m_work->m_deadline)
             late.push_back(item);
     }
     for (connection* item : late)
@@ -400,16 +398,14 @@
         probe(endpoint, now);
     }
     // Connections that do not open in time are given up one by one.
-    for (connection* item : endpoint.m_pool.all())
+    for (const auto number : endpoint.m_pool.numbers())
     {
-        connection* still = find(item->m_number);
-        if (still == nullptr)
+        connection* item = find(number);
+        if (item == nullptr || !is_stuck(*item, endpoint, now))
             continue;
-        if (!is_stuck(*still, endpoint, now))
-            continue;
-        if (!still->m_open)
+        if (!item->m_open)
             endpoint_failed(endpoint, "connect_timeout", now);
-        connection_lost(*still, now);
+        connection_lost(*item, now);
     }
 }
 
@@ -456,7 +452,7 @@
         warm_up(endpoint, endpoint.m_entry, "reachable", now);
     endpoint.m_health = endpoint_health::serving;
     m_log.info("endpoint_reachable", {{"endpoint", endpoint.m_entry.m_id}});
-    place_waiting(endpoint.m_entry.m_group, now);
+    place_waiting(endpoint.m_entry.m_group);
 }
 
 // A new connection shows whether an endpoint is there at all; the ones that
--- a/lib/entry/runner_placement.cpp
+++ b/lib/entry/runner_placement.cpp
@@ -150,7 +150,7 @@
         reason = "the primary's failure domain is evacuated";
     else if (request.m_primary_only)
         reason = "no primary is known";
-    finish(who, rpc::statement_error::busy, reason, now);
+    finish(who, rpc::statement_error::busy, reason);
 }
 
 // True when the work got an endpoint or ended.
@@ -161,7 +161,7 @@
     group_state* group = find_group(who.m_route.m_group);
     if (group == nullptr)
     {
-        finish(who, rpc::statement_error::busy, "no endpoint is known", now);
+        finish(who, rpc::statement_error::busy, "no endpoint is known");
         return true;
     }
     const auto request = requirements(who, *group, now);
@@ -181,7 +181,7 @@
     }
     if (choose_endpoint(request, choices))
     {
-        wait(who, now);
+        wait(who);
         return false;
     }
     refuse_unplaced(who, *group, request, choices, now);
@@ -198,7 +198,7 @@
         choice.m_excluded = exclusion::none;
     if (const auto excluded = choose_endpoint(request, allowed))
     {
-        refuse_excluded(who, group, request, choices, *excluded, now);
+        refuse_excluded(who, group, request, choices, *excluded);
         return;
     }
     refuse(who, group, request, choices.size(), now);
@@ -208,7 +208,7 @@
 void statement_runner::refuse_excluded(
     session& who, const group_state& group, const placement_request& request,
     const std::vector<placement_candidate>& choices,
-    const base::endpoint_id& excluded, base::instant now)
+    const base::endpoint_id& excluded)
 {
     const auto found = std::find_if(choices.begin(), choices.end(),
                                     [&excluded](const placement_candidate& item)
@@ -229,22 +229,21 @@
                 {"candidates", choices.size()}});
     if (cold)
         finish(who, rpc::statement_error::busy,
-               "the endpoint has just started and other hosts send to it", now);
+               "the endpoint has just started and other hosts send to it");
     else
         finish(who, rpc::statement_error::busy,
                request.m_primary_only
                    ? "the primary is outside the home regions"
-                   : "no endpoint in the home regions can run this",
-               now);
+                   : "no endpoint in the home regions can run this");
 }
 
-void statement_runner::wait(session& who, base::instant now)
+void statement_runner::wait(session& who)
 {
     who.m_work->m_stage = work_stage::waiting;
     group_state* group = find_group(who.m_route.m_group);
     if (group == nullptr)
     {
-        finish(who, rpc::statement_error::busy, "no endpoint is known", now);
+        finish(who, rpc::statement_error::busy, "no endpoint is known");
         return;
     }
     auto& waiting = group->m_waiting;
@@ -257,13 +256,11 @@
 // new one: each connection that is opened or closed for another organisation
 // costs a slot of the endpoint for 12 ms. Within both, urgent routes go first
 // and then those that have waited longest.
-void statement_runner::place_waiting(const base::group_id& id,
-                                     base::instant now)
+void statement_runner::place_group(const base::group_id& id, base::instant now)
 {
     group_state* group = find_group(id);
-    if (group == nullptr || group->m_waiting.empty() || group->m_placing)
+    if (group == nullptr || group->m_waiting.empty())
         return;
-    group->m_placing = true;
     for (const bool may_open : {false, true})
     {
         for (const auto number : waiting_in_order(*group))
@@ -283,12 +280,17 @@
                       return found == m_sessions.end() ||
                              !is_waiting(*found->second);
                   });
-    group->m_placing = false;
+}
+
+void statement_runner::place_waiting(const base::group_id& id)
+{
+    const event_scope event(*this);
+    m_groups_to_place.insert(id);
 }
 
 bool statement_runner::is_waiting(const session& who)
 {
-    return who.m_work && who.m_work->m_stage == work_stage::waiting;
+    return who.is_working() && who.m_work->m_stage == work_stage::waiting;
 }
 
 std::vector<rpc::session_number>
--- a/lib/entry/session_service.cpp
+++ b/lib/entry/session_service.cpp
@@ -88,6 +88,7 @@
 void session_service::statement_received(rpc::session_number number,
                                          rpc::opaque_statement what)
 {
+    const statement_runner::event_scope event(*m_runner);
     const auto now = m_clock.now();
     const auto found = m_sessions.find(number);
     if (found == m_sessions.end())
@@ -426,6 +427,7 @@
 {
     if (!m_configuration)
         return;
+    const statement_runner::event_scope event(*m_runner);
     if (now >= m_next_refresh)
     {
         m_next_refresh = now + m_options.m_refresh_interval;
@@ -458,6 +460,7 @@
 
 void session_service::close_idle(base::instant started_until, base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     std::vector<rpc::session_number> idle;
     for (const auto& [number, who] : m_sessions)
         if (who->m_state == transaction_state::idle && !who->m_work &&
@@ -515,6 +518,7 @@
 
 void session_service::abort_transactions(base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     m_aborting = true;
     std::vector<rpc::session_number> open;
     for (const auto& [number, who] : m_sessions)
--- a/lib/entry/session_tokens.cpp
+++ b/lib/entry/session_tokens.cpp
@@ -56,6 +56,7 @@
                                      const base::host_id& lender,
                                      std::uint32_t amount, base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     for (; amount > 0 && admit_next(who, lender, now); --amount)
         ;
     for (; amount > 0; --amount)
@@ -72,6 +73,7 @@
 void session_service::tokens_returned(const base::organisation_id& who,
                                       std::uint32_t amount, base::instant now)
 {
+    const statement_runner::event_scope event(*m_runner);
     for (; amount > 0; --amount)
         m_gate.give_back(who, now);
     admit_waiting(who, now);
--- a/lib/entry/statement_runner.cpp
+++ b/lib/entry/statement_runner.cpp
@@ -44,8 +44,73 @@
 {
 }
 
+statement_runner::event_scope::event_scope(statement_runner& runner)
+    : m_runner(runner)
+{
+    ++m_runner.m_open_scopes;
+}
+
+statement_runner::event_scope::~event_scope()
+{
+    // The scope stays open while it settles, so that what this causes is noted
+    // as well.
+    if (m_runner.m_open_scopes == 1)
+        m_runner.settle(m_runner.m_clock.now());
+    --m_runner.m_open_scopes;
+}
+
+// Ended statements first: the next statement of a session finds the connection
+// that has its values.
+void statement_runner::settle(base::instant now)
+{
+    while (true)
+    {
+        if (!m_notices.empty())
+        {
+            const notice next = m_notices.front();
+            m_notices.pop_front();
+            deliver(next, now);
+            continue;
+        }
+        if (m_groups_to_place.empty())
+            break;
+        const base::group_id group =
+            m_groups_to_place.extract(m_groups_to_place.begin()).value();
+        place_group(group, now);
+    }
+    close_unneeded();
+}
+
+void statement_runner::deliver(const notice& what, base::instant now)
+{
+    const auto found = m_sessions.find(what.m_session);
+    if (found == m_sessions.end())
+        return;
+    session& who = *found->second;
+    if (what.m_transaction_lost)
+    {
+        receiver_of(who).transaction_lost(who, now);
+        return;
+    }
+    if (!who.m_work || !who.m_work->m_result)
+        return;
+    const statement_result result = *who.m_work->m_result;
+    receiver_of(who).work_finished(who, result, now);
+}
+
+runner_events& statement_runner::receiver_of(const session& who) const
+{
+    return who.m_events == nullptr ? m_events : *who.m_events;
+}
+
+void statement_runner::note_transaction_lost(const session& who)
+{
+    m_notices.push_back({who.m_number, true});
+}
+
 void statement_runner::submit(session& who, base::instant now)
 {
+    const event_scope event(*this);
     m_sessions[who.m_number] = &who;
     work& what = *who.m_work;
     if (who.m_pinned_forward)
@@ -61,8 +126,7 @@
     connection* pinned = find(*who.m_pinned);
     if (pinned == nullptr)
     {
-        finish(who, rpc::statement_error::aborted, "the connection was lost",
-               now);
+        finish(who, rpc::statement_error::aborted, "the connection was lost");
         return;
     }
     what.m_connection = pinned->m_number;
@@ -84,6 +148,7 @@
 
 void statement_runner::roll_back(session& who, base::instant now)
 {
+    const event_scope event(*this);
     if (who.m_pinned_forward)
     {
         const auto number = *std::exchange(who.m_pinned_forward, std::nullopt);
@@ -110,7 +175,8 @@
 // connection serves others after that.
 void statement_runner::forget(session& who, base::instant now)
 {
-    if (who.is_pinned() && !who.m_work)
+    const event_scope event(*this);
+    if (who.is_pinned() && !who.is_working())
         roll_back(who, now);
     if (who.m_work && who.m_work->m_forwarded)
         drop_forwarded(*who.m_work->m_forwarded);
@@ -316,18 +382,25 @@
 {
     item.m_owner.reset();
     item.m_used = now;
-    const auto number = item.m_number;
-    const endpoint_state* endpoint = find_endpoint(item.m_endpoint);
-    const auto group = m_group_of.find(item.m_endpoint);
-    if (group == m_group_of.end())
-        return;
-    const base::group_id id = group->second;
-    const bool keep = endpoint != nullptr && endpoint->m_listed;
-    place_waiting(id, now);
-    connection* still = find(number);
-    if (still != nullptr && still->is_idle() &&
-        (!keep || endpoint->m_pool.is_over_share()))
-        close(*still);
+    m_released.push_back(item.m_number);
+    if (const auto group = m_group_of.find(item.m_endpoint);
+        group != m_group_of.end())
+        m_groups_to_place.insert(group->second);
+}
+
+// Closes what was given back, found no work, and is not to be kept.
+void statement_runner::close_unneeded()
+{
+    for (const auto number : std::exchange(m_released, {}))
+    {
+        connection* item = find(number);
+        if (item == nullptr || !item->is_idle())
+            continue;
+        const endpoint_state* endpoint = find_endpoint(item->m_endpoint);
+        if (endpoint != nullptr &&
+            (!endpoint->m_listed || endpoint->m_pool.is_over_share()))
+            close(*item);
+    }
 }
 
 void statement_runner::close(connection& item)
@@ -366,12 +439,13 @@
     return true;
 }
 
+// The statement has this result; its receiver is told when the event is over.
 void statement_runner::finish(session& who,
                               std::optional<rpc::statement_error> error,
-                              std::string_view text, base::instant now)
+                              std::string_view text)
 {
-    runner_events& owner = who.m_events == nullptr ? m_events : *who.m_events;
-    owner.work_finished(who, {error, std::string(text)}, now);
+    who.m_work->m_result = {error, std::string(text)};
+    m_notices.push_back({who.m_number});
 }
 
 group_state* statement_runner::find_group(const base::group_id& group)
@@ -416,6 +490,14 @@
     return found == m_sessions.end() ? nullptr : found->second;
 }
 
+session* statement_runner::working_on(const connection& item)
+{
+    session* who = owner_of(item);
+    const bool works = who != nullptr && who->is_working() &&
+                       who->m_work->m_connection == item.m_number;
+    return works ? who : nullptr;
+}
+
 // Sessions choose colliding names, so each shape has one name of the proxy's
 // own on all connections, and sessions share what is prepared.
 const std::string&
