Runner: a statement ends by its deadline wherever it is

Cause: time-outs were looked for among connections that have an owner and among forwarded statements. A statement whose connection had lost its owner, or that was sent on a connection which the host had closed, was in neither list, and nothing else would end it. check_deadlines goes by the statements themselves. One without a connection of its own is logged as an error and counted (statements.without_connection), since nothing should lead there.

--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -382,7 +382,6 @@
     void forwarded_ended(session& who, base::endpoint_id endpoint_id,
                          rpc::forwarded_answer answer, base::instant now);
     void answered_through_holder(endpoint_state& endpoint, base::instant now);
-    void check_forwarded(base::instant now);
     connection& open(endpoint_state& endpoint,
                      const base::organisation_id& organisation,
                      base::instant now);
@@ -429,7 +428,11 @@
     void check_silence(endpoint_state& endpoint, base::instant now);
     void trim(endpoint_state& endpoint);
     void check_waiting(group_state& group, base::instant now);
-    void check_running(base::instant now);
+    void check_deadlines(base::instant now);
+    void end_late(session& who, base::instant now);
+    void end_late_forwarded(session& who, base::instant now);
+    void end_without_connection(session& who, base::instant now);
+    void refuse_waiting(session& who);
     void probe(endpoint_state& endpoint, base::instant now);
     void send_control(const base::endpoint_id& endpoint,
                       control_request request, base::instant now);
--- a/lib/entry/runner_forwarding.cpp
+++ b/lib/entry/runner_forwarding.cpp
@@ -412,33 +412,16 @@
     }
 }
 
-// A forwarded statement that has used its time, as in check_running. A holder
-// that is silent would have lost its stream before.
-void statement_runner::check_forwarded(base::instant now)
+// A forwarded statement that has used its time. A holder that is silent would
+// have lost its stream before.
+void statement_runner::end_late_forwarded(session& who, base::instant now)
 {
-    std::vector<std::pair<forwarding_number, session*>> late;
-    for (const auto& [number, at] : m_forwarded)
-    {
-        const auto found = m_sessions.find(at.m_owner);
-        if (found != m_sessions.end() && found->second->is_working() &&
-            found->second->m_work->m_forwarded == number &&
-            now >= found->second->m_work->m_deadline)
-            late.emplace_back(number, found->second);
-    }
-    for (const auto& [number, who] : late)
-    {
-        const auto found = m_forwarded.find(number);
-        if (found == m_forwarded.end())
-            continue;
-        m_metrics.counter("refused.statement_timeout").add();
-        work& what = *who->m_work;
-        endpoint_state* endpoint = find_endpoint(found->second.m_endpoint);
-        if (endpoint != nullptr &&
-            now - what.m_sent > m_options.m_holder_silence)
-            endpoint->m_failures.ended(true, now);
-        what.m_tried.resize(m_options.m_largest_tries);
-        forwarded_lost(number, now);
-    }
+    const work& what = *who.m_work;
+    const auto found = m_forwarded.find(*what.m_forwarded);
+    endpoint_state* endpoint = find_endpoint(found->second.m_endpoint);
+    if (endpoint != nullptr && now - what.m_sent > m_options.m_holder_silence)
+        endpoint->m_failures.ended(true, now);
+    forwarded_lost(found->first, now);
 }
 
 // Places what another host has sent here: at its endpoint or not at all. That
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -297,8 +297,7 @@
 {
     const event_scope event(*this);
     forgive_pause(now);
-    check_running(now);
-    check_forwarded(now);
+    check_deadlines(now);
     for (auto& [id, group] : m_groups)
     {
         group.m_troubled = false;
@@ -338,40 +337,70 @@
         if (found == m_sessions.end() || !found->second->is_working())
             continue;
         session& who = *found->second;
-        const work& what = *who.m_work;
-        if (what.m_stage != work_stage::waiting ||
-            (now < what.m_deadline &&
-             now - what.m_arrived < m_options.m_longest_wait))
-            continue;
-        m_metrics.counter("refused.queue_timeout").add();
-        finish(who, statement_error::busy, "no connection became free");
+        if (is_waiting(who) &&
+            now - who.m_work->m_arrived >= m_options.m_longest_wait)
+            refuse_waiting(who);
     }
 }
 
+// Goes by the statements and not by the connections: a statement without its
+// connection has to end as well.
+void statement_runner::check_deadlines(base::instant now)
+{
+    std::vector<rpc::session_number> late;
+    for (const auto& [number, who] : m_sessions)
+        if (who->is_working() && now >= who->m_work->m_deadline)
+            late.push_back(number);
+    for (const auto number : late)
+        end_late(*m_sessions.at(number), now);
+}
+
 // A statement that has used its time ends, and its connection with it, because
 // nothing else would stop the endpoint from answering later.
-void statement_runner::check_running(base::instant now)
+void statement_runner::end_late(session& who, base::instant now)
 {
-    std::vector<connection*> late;
-    for (auto& [number, item] : m_connections)
+    work& what = *who.m_work;
+    if (is_waiting(who))
     {
-        const session* who = working_on(*item);
-        if (who != nullptr && now >= who->m_work->m_deadline)
-            late.push_back(item);
+        refuse_waiting(who);
+        return;
     }
-    for (connection* item : late)
+    m_metrics.counter("refused.statement_timeout").add();
+    what.m_tried.resize(m_options.m_largest_tries);
+    if (what.m_forwarded && m_forwarded.contains(*what.m_forwarded))
     {
-        session* who = owner_of(*item);
-        m_metrics.counter("refused.statement_timeout").add();
-        if (endpoint_state* endpoint = find_endpoint(item->m_endpoint))
-        {
-            endpoint->m_failures.ended(true, now);
-            endpoint->m_pace.refused(now);
-        }
-        work& what = *who->m_work;
-        what.m_tried.resize(m_options.m_largest_tries);
-        connection_lost(*item, now);
+        end_late_forwarded(who, now);
+        return;
+    }
+    connection* on = find(what.m_connection);
+    if (on == nullptr || on->m_owner != who.m_number)
+    {
+        end_without_connection(who, now);
+        return;
     }
+    if (endpoint_state* endpoint = find_endpoint(on->m_endpoint))
+    {
+        endpoint->m_failures.ended(true, now);
+        endpoint->m_pace.refused(now);
+    }
+    connection_lost(*on, now);
+}
+
+// Nothing should lead here; a caller is answered all the same.
+void statement_runner::end_without_connection(session& who, base::instant now)
+{
+    m_metrics.counter("statements.without_connection").add();
+    m_log.error("statement_without_connection",
+                {{"request", who.m_work->m_statement.m_id},
+                 {"group", who.m_route.m_group},
+                 {"connection", who.m_work->m_connection}});
+    work_lost(who, {}, now);
+}
+
+void statement_runner::refuse_waiting(session& who)
+{
+    m_metrics.counter("refused.queue_timeout").add();
+    finish(who, statement_error::busy, "no connection became free");
 }
 
 void statement_runner::check_silence(endpoint_state& endpoint,
