Runner: each answer is checked against the endpoint's own transaction

An endpoint refused a second BEGIN and told "T"; the host took the refusal for "not begun" and gave the connection, with its open transaction, to other callers.

Cause: what an endpoint tells of its transaction was used after rolled back and abandoned requests only. A connection now keeps the state that was told last, is idle only without a transaction, and every answer is held against what its request can lead to: begin, preparation, report, roll back, single statement, statement and commit of a transaction, and requests whose caller has left. Anything else, and an answer for a session that does not work on the connection, closes it. Reads run again, transactions that wrote nothing are aborted, and a write has no known outcome, whatever the answer says, since it may be kept or not.

Counter: connections.unexpected_state, with a log line. Ruled out: a check of refused begins alone, as a single statement that ran inside a transaction was reported as committed too.

--- a/include/magnoliastack/entry/connection.hpp
+++ b/include/magnoliastack/entry/connection.hpp
@@ -55,6 +55,8 @@
     absl::flat_hash_set<std::string> m_prepared;
     // Requests without their `ready` yet, oldest first.
     std::deque<pending_answer> m_awaited;
+    // The transaction as the endpoint's last answer told it.
+    rpc::transaction_state m_state = rpc::transaction_state::idle;
     // Number of requests at the end of m_awaited that were not sent yet, since
     // the endpoint is cold.
     std::size_t m_unsent = 0;
@@ -68,7 +70,8 @@
     // True when it can take a statement.
     [[nodiscard]] bool is_idle() const
     {
-        return m_open && !m_owner && !m_control && m_awaited.empty();
+        return m_open && !m_owner && !m_control && m_awaited.empty() &&
+               m_state == rpc::transaction_state::idle;
     }
 };
 
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -396,6 +396,13 @@
     void answer_ended(connection& on, rpc::transaction_state state,
                       std::optional<base::log_point> position,
                       base::instant now);
+    [[nodiscard]] static bool may_follow(const connection& on,
+                                         const pending_answer& answered,
+                                         const session* who,
+                                         rpc::transaction_state state);
+    void unexpected_answer(connection& on, const pending_answer& answered,
+                           session* who, rpc::transaction_state state,
+                           base::instant now);
     void begin_ended(connection& on, session& who, base::instant now);
     void statement_ended(connection& on, session& who,
                          rpc::transaction_state state,
--- a/lib/entry/runner_answers.cpp
+++ b/lib/entry/runner_answers.cpp
@@ -21,6 +21,38 @@
     return average * (1 - answer_time_weight) + sample * answer_time_weight;
 }
 
+const char* to_string(awaited what)
+{
+    switch (what)
+    {
+    case awaited::preparation:
+        return "preparation";
+    case awaited::begin:
+        return "begin";
+    case awaited::statement:
+        return "statement";
+    case awaited::roll_back:
+        return "roll_back";
+    case awaited::report:
+        return "report";
+    }
+    return "unknown";
+}
+
+const char* to_string(transaction_state state)
+{
+    switch (state)
+    {
+    case transaction_state::idle:
+        return "idle";
+    case transaction_state::open:
+        return "open";
+    case transaction_state::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 void statement_runner::opened(base::connection_generation number,
@@ -211,8 +243,15 @@
     on.m_awaited.pop_front();
     if (position)
         note_position(on.m_endpoint, *position, answered.m_sent, now);
-    session* who = owner_of(on);
+    session* who = working_on(on);
     const bool failed = on.m_failure.has_value();
+    const bool is_foreign = who == nullptr && on.m_owner;
+    if (is_foreign || !may_follow(on, answered, who, state))
+    {
+        unexpected_answer(on, answered, who, state, now);
+        return;
+    }
+    on.m_state = state;
     if (answered.m_what == awaited::report)
     {
         if (failed)
@@ -239,9 +278,7 @@
     if (answered.m_what == awaited::roll_back || who == nullptr)
     {
         on.m_failure.reset();
-        if (state != transaction_state::idle)
-            connection_lost(on, now);
-        else if (on.m_awaited.empty())
+        if (on.m_awaited.empty())
             release(on, now);
         return;
     }
@@ -259,6 +296,57 @@
         send_statement(*who, on, now);
 }
 
+// False when the state of the endpoint's transaction cannot follow from the
+// request, so that something has run inside another transaction or outside its
+// own.
+bool statement_runner::may_follow(const connection& on,
+                                  const pending_answer& answered,
+                                  const session* who, transaction_state state)
+{
+    const bool failed = on.m_failure.has_value();
+    if (answered.m_what == awaited::preparation ||
+        answered.m_what == awaited::report)
+        return state == on.m_state;
+    if (answered.m_what == awaited::roll_back || who == nullptr)
+        return state == transaction_state::idle;
+    if (answered.m_what == awaited::begin)
+        return state ==
+               (failed ? transaction_state::idle : transaction_state::open);
+    if (who->m_state == transaction_state::idle)
+        return state == transaction_state::idle;
+    if (failed)
+        return true;
+    return who->m_work->m_statement.m_kind == statement_kind::commit
+               ? state == transaction_state::idle
+               : state == transaction_state::open;
+}
+
+// Nobody may use the connection any more. A write that was sent may be kept or
+// not, whatever the answer says.
+void statement_runner::unexpected_answer(connection& on,
+                                         const pending_answer& answered,
+                                         session* who, transaction_state state,
+                                         base::instant now)
+{
+    m_metrics.counter("connections.unexpected_state").add();
+    m_log.warning("unexpected_state", {{"endpoint", on.m_endpoint},
+                                       {"connection", on.m_number},
+                                       {"request", to_string(answered.m_what)},
+                                       {"state", to_string(state)},
+                                       {"failed", on.m_failure.has_value()},
+                                       {"owned", on.m_owner.has_value()}});
+    if (who == nullptr || answered.m_what != awaited::statement ||
+        !who->m_wrote)
+    {
+        connection_lost(on, now);
+        return;
+    }
+    who->m_pinned.reset();
+    close(on);
+    finish(*who, statement_error::unknown_outcome,
+           "the endpoint's transaction is not the statement's own");
+}
+
 // The endpoint refused to begin the transaction; nothing ran.
 void statement_runner::begin_ended(connection& on, session& who,
                                    base::instant now)
