Endpoints: one state for an id, and none by an entry of an unknown group

Cause: statement_runner::set_endpoints made a second state of the endpoint in the unknown group. The old one still counted as listed and got work, while everything that goes by the id found the new one, so connections that were closed stayed in the old pool and were handed out again.

An endpoint that does go to another group loses its connections and its old state before it gets a new one (endpoints.moved).

--- a/include/magnoliastack/entry/host.hpp
+++ b/include/magnoliastack/entry/host.hpp
@@ -12,6 +12,7 @@
 #include "magnoliastack/quota/demand_table.hpp"
 
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -172,6 +173,7 @@
     void follow_isolation(base::instant now);
     void follow_drain(base::instant now);
     void check_drained(base::instant now);
+    [[nodiscard]] std::vector<catalogue::endpoint_entry> configured_entries();
     void end_drain(const char* reason, base::instant now);
     void log_drain(const char* event, base::instant now,
                    const char* reason = "planned_stop");
@@ -199,6 +201,8 @@
     forwarding_service m_forwarding;
     fleet_follower m_follower;
     std::vector<catalogue::endpoint_entry> m_entries;
+    // Endpoints whose entries name no configured group.
+    std::set<base::endpoint_id> m_passed_over;
     std::optional<base::instant> m_isolated_since;
     std::optional<base::instant> m_draining_since;
     // Steps of the planned stop that were taken.
--- a/include/magnoliastack/entry/statement_runner.hpp
+++ b/include/magnoliastack/entry/statement_runner.hpp
@@ -324,6 +324,8 @@
     void wait(session& who);
     [[nodiscard]] const endpoint_state*
     find_endpoint(const base::endpoint_id& endpoint) const;
+    void leave_other_group(const catalogue::endpoint_entry& entry,
+                           base::instant now);
     void follow_cold(endpoint_state& endpoint,
                      const catalogue::endpoint_entry& entry, bool added,
                      base::instant now);
--- a/lib/entry/host.cpp
+++ b/lib/entry/host.cpp
@@ -286,7 +286,35 @@
         m_holders.refresh(m_homes.is_large_fleet(), now);
         m_runner.set_held(m_holders.own_parts());
     }
-    m_runner.set_endpoints(m_entries, connection_shares(), now);
+    m_runner.set_endpoints(configured_entries(), connection_shares(), now);
+}
+
+// An entry with a group that the configuration does not name comes from another
+// writer, perhaps under the id of an endpoint that runs, or is ahead of the
+// configuration. No endpoint is used by it.
+std::vector<catalogue::endpoint_entry> host::configured_entries()
+{
+    const auto& configuration = m_service.configuration();
+    if (!configuration)
+        return m_entries;
+    std::vector<catalogue::endpoint_entry> result;
+    std::set<base::endpoint_id> passed_over;
+    for (const auto& entry : m_entries)
+    {
+        if (configuration->m_groups.contains(entry.m_group))
+        {
+            result.push_back(entry);
+            continue;
+        }
+        passed_over.insert(entry.m_id);
+        if (m_passed_over.contains(entry.m_id))
+            continue;
+        m_links.m_metrics.counter("endpoints.unknown_group").add();
+        m_log.warning("entry_of_unknown_group",
+                      {{"endpoint", entry.m_id}, {"group", entry.m_group}});
+    }
+    m_passed_over = std::move(passed_over);
+    return result;
 }
 
 // Parts follow the holders at once: a host that waited for the next division
--- a/lib/entry/runner_health.cpp
+++ b/lib/entry/runner_health.cpp
@@ -41,6 +41,7 @@
     for (const auto& entry : entries)
     {
         listed.insert(entry.m_id);
+        leave_other_group(entry, now);
         m_group_of[entry.m_id] = entry.m_group;
         group_state& group = m_groups[entry.m_group];
         group.m_id = entry.m_group;
@@ -107,6 +108,22 @@
         place_waiting(id);
 }
 
+// An id has one state. An endpoint that serves another group now has nothing of
+// what it was in the old one.
+void statement_runner::leave_other_group(const catalogue::endpoint_entry& entry,
+                                         base::instant now)
+{
+    const auto known = m_group_of.find(entry.m_id);
+    if (known == m_group_of.end() || known->second == entry.m_group)
+        return;
+    m_metrics.counter("endpoints.moved").add();
+    m_log.warning("endpoint_moved", {{"endpoint", entry.m_id},
+                                     {"from", known->second},
+                                     {"to", entry.m_group}});
+    drop_connections(entry.m_id, now);
+    m_groups.at(known->second).m_endpoints.erase(entry.m_id);
+}
+
 void statement_runner::warm_up(endpoint_state& endpoint,
                                const catalogue::endpoint_entry& entry,
                                const char* cause, base::instant now)
--- a/unittests/entry/regrouped_endpoint_test.cpp
+++ b/unittests/entry/regrouped_endpoint_test.cpp
@@ -85,6 +85,19 @@
                 host(0).m_host.endpoints().connection_closed(number, false);
     }
 
+    std::uint64_t count(const char* counter)
+    {
+        return host(0).m_metrics.counter(counter).value();
+    }
+
+    std::size_t count_endpoints(const char* group)
+    {
+        return host(0)
+            .m_host.runner()
+            .find_group(base::group_id(group))
+            ->m_endpoints.size();
+    }
+
     // Reads of sessions from this number on that have no answer after the
     // statements' time is over.
     int count_unanswered_reads(std::uint64_t first)
@@ -117,4 +130,43 @@
     cr_assert_eq(f.count_unanswered_reads(100), 0);
     f.list_replica_in("g");
     cr_assert_eq(f.count_unanswered_reads(200), 0);
+    cr_assert_eq(f.count("statements.without_connection"), 0);
+}
+
+// The entry of another writer names a group that no configuration has: it names
+// no endpoint to use, and the operator is told.
+Test(regrouped_endpoint, is_not_used_while_its_group_is_unknown)
+{
+    regrouped_fixture f;
+    f.list_replica_in("elsewhere");
+    cr_assert_null(
+        f.host(0).m_host.runner().find_group(base::group_id("elsewhere")));
+    cr_assert_eq(f.count("endpoints.unknown_group"), 1);
+    f.list_replica_in("g");
+    cr_assert_eq(f.count_endpoints("g"), 3);
+}
+
+// Guards against two states of an endpoint that goes to another group: work and
+// connections of the old one would stay in use there.
+Test(regrouped_endpoint, has_one_state)
+{
+    regrouped_fixture f;
+    auto config = std::make_shared<catalogue::configuration>(
+        *f.m_platform.m_configuration);
+    config->m_version = base::configuration_version(2);
+    const base::group_id other("other");
+    config->m_groups[other] = {other, 30};
+    f.m_platform.configure(config);
+    f.run(absl::Milliseconds(200));
+    const auto open = f.host(0).m_endpoints.m_open;
+    f.list_replica_in("other");
+    cr_assert_eq(f.count_endpoints("g"), 2);
+    cr_assert_eq(f.count_endpoints("other"), 1);
+    for (const auto& [number, target] : open)
+        cr_assert(target.m_endpoint.str() != "e1" ||
+                  !f.host(0).m_endpoints.m_open.contains(number));
+    cr_assert_eq(f.count_unanswered_reads(100), 0);
+    f.list_replica_in("g");
+    cr_assert_eq(f.count_endpoints("g"), 3);
+    cr_assert_eq(f.count_endpoints("other"), 0);
 }
