Soak: crashes in a burst, a refused second BEGIN, PINNED and missing answers judged

Endpoints have 3 slots, a queue of 24 (BUSY beyond it) and 21 connections, and refuse a BEGIN inside a transaction with MALFORMED, which counts as PINNED. Each statement is judged by the transaction in which it ran: a single one in none, one of a transaction in its own, and in the same as the first. This replaces the old comparison, which it contains. A statement without an answer after 4 s, at a host that ran all the while, is UNANSWERED. A new kind of fault lets replicas crash and return by turns while callers ask without a pause and work takes four times as long.

--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -19,6 +19,7 @@
 // Longer than any timeout of a route.
 constexpr std::chrono::milliseconds patience{4000};
 constexpr std::chrono::milliseconds pause_between{60};
+constexpr std::chrono::milliseconds pause_in_burst{2};
 constexpr std::chrono::milliseconds pause_after_loss{150};
 constexpr unsigned operations_in_session = 40;
 
@@ -80,12 +81,20 @@
             [self = shared_from_this()](error_code error)
             {
                 if (!error)
-                    self->lost();
+                    self->time_over();
             });
     }
 
+    void time_over()
+    {
+        if (!m_ids.empty() && m_world.m_ran_since(m_host, m_sent))
+            m_world.m_judge.unanswered(m_ids.back(), absl::StrCat("h", m_host));
+        lost();
+    }
+
     void send(std::string line)
     {
+        m_sent = clock::now();
         m_output = std::move(line) + "\r\n";
         m_error.clear();
         asio::async_write(
@@ -175,7 +184,8 @@
             finish();
             return;
         }
-        m_timer.expires_after(pause_between);
+        m_timer.expires_after(m_world.m_bursts > 0 ? pause_in_burst
+                                                   : pause_between);
         m_timer.async_wait(
             [self = shared_from_this()](error_code error)
             {
@@ -214,6 +224,9 @@
         what.m_organisation = m_owner.m_organisation;
         what.m_group = m_route.m_group;
         what.m_operation = m_operation;
+        what.m_in_transaction = m_kind == kind::transaction;
+        // The host answers the begin itself.
+        what.m_first = what.m_in_transaction && m_statement == 2;
         what.m_text = text;
         what.m_own = m_own;
         what.m_covers = clock::now() - m_route.m_staleness;
@@ -334,6 +347,7 @@
     std::size_t m_statement = 0;
     unsigned m_count = 0;
     char m_state = 'I';
+    clock::time_point m_sent;
     commit_ptr m_own;
 };
 
--- a/test/soak/callers.hpp
+++ b/test/soak/callers.hpp
@@ -54,8 +54,12 @@
     // What the host has to say to the key now.
     std::function<key_verdict(std::size_t host, const std::string& key)>
         m_judge_key;
+    // True when the host's process has run without a pause since then.
+    std::function<bool(std::size_t host, clock::time_point since)> m_ran_since;
     tally m_tally;
     bool m_stopped = false;
+    // Bursts that are under way: callers ask again at once.
+    std::size_t m_bursts = 0;
 };
 
 // One caller of an organisation.
--- a/test/soak/checker.cpp
+++ b/test/soak/checker.cpp
@@ -179,11 +179,43 @@
     }
 }
 
-void checker::mixed(const std::string& id, const std::string& owner)
+void checker::ran_in(const std::string& id, std::uint64_t transaction)
 {
     const auto found = m_demands.find(id);
-    if (found != m_demands.end() && found->second.m_operation != owner)
+    if (found == m_demands.end())
+        return;
+    const demand& what = found->second;
+    if (what.m_in_transaction != (transaction != 0))
+    {
+        broken("PINNED", what.m_in_transaction
+                             ? id + " ran outside its transaction"
+                             : id + ", a single statement, ran inside one");
+        return;
+    }
+    if (transaction == 0)
+        return;
+    const auto& owner =
+        m_operation_in.try_emplace(transaction, what.m_operation).first->second;
+    if (owner != what.m_operation)
         broken("PINNED", id + " ran inside the transaction of " + owner);
+    auto& begun = m_begun_in[what.m_operation];
+    if (what.m_first)
+        begun.insert(transaction);
+    else if (begun.contains(transaction))
+        begun = {transaction};
+    else
+        broken("PINNED", id + " ran in another transaction than the first "
+                              "statement of its operation");
+}
+
+void checker::began_twice(const std::string& endpoint)
+{
+    broken("PINNED", endpoint + " was asked to begin inside a transaction");
+}
+
+void checker::unanswered(const std::string& id, const std::string& host)
+{
+    broken("UNANSWERED", id + " got no answer from " + host);
 }
 
 void checker::seen_by_endpoint(const std::string& line)
--- a/test/soak/checker.hpp
+++ b/test/soak/checker.hpp
@@ -42,6 +42,10 @@
     commit_ptr m_own;
     // Statements of one operation share it.
     std::string m_operation;
+    // The operation is a transaction, and this is its first statement that an
+    // endpoint has to run.
+    bool m_in_transaction = false;
+    bool m_first = false;
     std::string m_text;
 };
 
@@ -70,8 +74,19 @@
     void admitted(const std::string& organisation,
                   const std::string& operation);
     void committed(const commit_ptr& what);
-    // A statement ran inside a transaction that another operation began.
-    void mixed(const std::string& id, const std::string& owner);
+    // A number for a transaction that begins at an endpoint; never 0.
+    std::uint64_t next_transaction()
+    {
+        return ++m_last_transaction;
+    }
+    // A statement ran inside this transaction of an endpoint, or outside any
+    // when it is 0.
+    void ran_in(const std::string& id, std::uint64_t transaction);
+    // A request to begin came while the connection's transaction was open.
+    void began_twice(const std::string& endpoint);
+    // A caller has waited longer than any time-out for the answer of a host
+    // that ran all the while.
+    void unanswered(const std::string& id, const std::string& host);
     void seen_by_endpoint(const std::string& line);
     void add_key(const std::string& key)
     {
@@ -116,6 +131,12 @@
     std::map<std::string, limit> m_limits;
     std::map<std::string, std::vector<clock::time_point>> m_admitted;
     std::set<std::string> m_counted;
+    std::uint64_t m_last_transaction = 0;
+    // The operation whose statements run in each transaction.
+    std::map<std::uint64_t, std::string> m_operation_in;
+    // Transactions in which each operation's first statement ran: it may be
+    // repeated elsewhere when its answer was lost.
+    std::map<std::string, std::set<std::uint64_t>> m_begun_in;
     std::map<std::uint64_t, std::string> m_holders;
     // Failure domains that are evacuated, and from when on nothing may reach
     // them. A bound that is over stays so: an evacuation never ends by itself.
--- a/test/soak/database.cpp
+++ b/test/soak/database.cpp
@@ -15,8 +15,9 @@
 
 using error_code = boost::system::error_code;
 
-constexpr std::size_t largest_connections = 40;
-constexpr std::chrono::milliseconds work_time{4};
+// Requests that an endpoint works on and keeps waiting at the same time.
+constexpr std::size_t slots = 3;
+constexpr std::size_t longest_queue = 24;
 constexpr std::chrono::milliseconds promote_time{300};
 // An old primary that reaches the new one follows it after this.
 constexpr std::chrono::milliseconds step_down_time{1000};
@@ -31,6 +32,15 @@
             .count());
 }
 
+// Connections, reads, writes and commits do.
+bool takes_slot(const std::string& line)
+{
+    return absl::StartsWith(line, "START ") ||
+           absl::StrContains(line, "READ ") ||
+           absl::StrContains(line, "WRITE ") ||
+           absl::EndsWith(line, " COMMIT") || absl::EndsWith(line, " STATUS");
+}
+
 } // namespace
 
 // One connection; statements run one after the other.
@@ -55,16 +65,34 @@
                 const std::string line = test::take_line(self->m_input, size);
                 self->m_owner.m_owner.judge().reached(self->m_owner.m_domain,
                                                       line);
-                self->m_timer.expires_after(work_time);
-                self->m_timer.async_wait(
-                    [self, line](error_code failed)
-                    {
-                        if (!failed && self->m_socket.is_open())
-                            self->serve(line);
-                    });
+                self->m_owner.admit(self, line);
+            });
+    }
+
+    // Takes a slot for the time of the work.
+    void work(const std::string& line)
+    {
+        const auto process = m_owner.m_process;
+        ++m_owner.m_working;
+        m_timer.expires_after(m_owner.m_work_time);
+        m_timer.async_wait(
+            [self = shared_from_this(), line, process](error_code failed)
+            {
+                if (process != self->m_owner.m_process)
+                    return;
+                --self->m_owner.m_working;
+                if (!failed && self->m_socket.is_open())
+                    self->serve(line);
+                self->m_owner.work_on();
             });
     }
 
+    void refuse_busy(const std::string& line)
+    {
+        m_owner.m_owner.judge().seen_by_endpoint(line);
+        fail("BUSY");
+    }
+
     void serve(const std::string& line)
     {
         m_owner.m_owner.judge().seen_by_endpoint(line);
@@ -82,7 +110,8 @@
         const bool wrong = words.size() < 3 ||
                            words[1] != m_owner.m_owner.name() ||
                            (words.size() > 3 && words[3] != m_owner.m_id);
-        const bool full = m_owner.m_connections.size() > largest_connections;
+        const bool full =
+            m_owner.m_connections.size() > endpoint::largest_connections;
         if (wrong || full)
         {
             m_last = true;
@@ -142,7 +171,7 @@
             begin(words.size() > 1);
         else if (verb == "ROLLBACK")
         {
-            m_state = 'I';
+            end_transaction();
             done("-");
         }
         else if (verb == "COMMIT")
@@ -170,13 +199,27 @@
             fail("READONLY");
             return;
         }
+        if (m_state != 'I')
+        {
+            m_owner.m_owner.judge().began_twice(m_owner.m_id);
+            fail("MALFORMED");
+            return;
+        }
         m_state = 'T';
         m_read_only = read_only;
-        m_operation.clear();
+        m_transaction = m_owner.m_owner.judge().next_transaction();
         m_writers.clear();
         done("-");
     }
 
+    // Returns the ids of the statements that wrote in it.
+    std::vector<std::string> end_transaction()
+    {
+        m_state = 'I';
+        m_transaction = 0;
+        return std::exchange(m_writers, {});
+    }
+
     void read_item(const std::string& id)
     {
         if (lost_lead())
@@ -196,29 +239,31 @@
             return;
         }
         note(id, false);
-        m_writers.push_back(id);
         if (m_state != 'T')
-            append(id);
-        else
-            done(absl::StrCat("s-", id));
+        {
+            append(id, {id});
+            return;
+        }
+        m_writers.push_back(id);
+        done(absl::StrCat("s-", id));
     }
 
     void commit_work(const std::string& id)
     {
-        m_state = 'I';
-        if (m_writers.empty())
+        m_owner.m_owner.judge().ran_in(id, m_transaction);
+        auto writers = end_transaction();
+        if (writers.empty())
         {
             done(absl::StrCat("s-", id));
             return;
         }
         if (!m_owner.m_primary)
         {
-            m_writers.clear();
             fail("READONLY");
             return;
         }
-        m_writers.push_back(id);
-        append(id);
+        writers.push_back(id);
+        append(id, std::move(writers));
     }
 
     // A plain transaction cannot go on at an endpoint that lost the lead.
@@ -234,12 +279,8 @@
     void note(const std::string& id, bool reads)
     {
         auto& judge = m_owner.m_owner.judge();
-        const std::string operation = id.substr(0, id.find('x'));
-        if (m_state != 'T' || m_operation.empty())
-            judge.admitted(m_organisation, operation);
-        if (m_state == 'T' && !m_operation.empty())
-            judge.mixed(id, m_operation);
-        m_operation = operation;
+        judge.admitted(m_organisation, id.substr(0, id.find('x')));
+        judge.ran_in(id, m_transaction);
         const std::vector<commit_ptr> shown(
             m_owner.m_log.begin(),
             m_owner.m_log.begin() +
@@ -250,12 +291,12 @@
 
     // Commits what was written; the answer comes when the commit is where it
     // has to be.
-    void append(const std::string& id)
+    void append(const std::string& id, std::vector<std::string> writers)
     {
         auto item = std::make_shared<commit>();
         item->m_term = m_owner.m_term;
         item->m_number = m_owner.m_log.size() + 1;
-        item->m_writers = std::exchange(m_writers, {});
+        item->m_writers = std::move(writers);
         item->m_by_old_primary = m_owner.m_owner.term() > m_owner.m_term;
         m_owner.m_log.push_back(item);
         m_owner.m_applied = m_owner.m_log.size();
@@ -313,8 +354,9 @@
     asio::streambuf m_input;
     std::string m_output;
     std::string m_organisation;
-    std::string m_operation;
     std::vector<std::string> m_writers;
+    // Number of the open transaction; 0 without one.
+    std::uint64_t m_transaction = 0;
     char m_state = 'I';
     bool m_read_only = false;
     bool m_last = false;
@@ -340,9 +382,41 @@
     accept();
 }
 
+void endpoint::admit(const std::shared_ptr<connection>& from,
+                     const std::string& line)
+{
+    if (!takes_slot(line))
+        asio::post(m_loop,
+                   [from, line]
+                   {
+                       if (from->m_socket.is_open())
+                           from->serve(line);
+                   });
+    else if (m_working < slots)
+        from->work(line);
+    else if (m_queue.size() < longest_queue || absl::StartsWith(line, "START "))
+        m_queue.emplace_back(from, line);
+    else
+        from->refuse_busy(line);
+}
+
+void endpoint::work_on()
+{
+    while (m_working < slots && !m_queue.empty())
+    {
+        const auto [from, line] = m_queue.front();
+        m_queue.pop_front();
+        if (from->m_socket.is_open())
+            from->work(line);
+    }
+}
+
 void endpoint::crash()
 {
     m_acceptor.reset();
+    ++m_process;
+    m_working = 0;
+    m_queue.clear();
     const auto open = m_connections;
     for (const auto& item : open)
         item->close();
--- a/test/soak/database.hpp
+++ b/test/soak/database.hpp
@@ -26,6 +26,9 @@
     endpoint(asio::io_context& loop, group& owner, std::string id,
              std::string domain, bool primary);
 
+    // Of all hosts together; fewer than they would like to keep.
+    static constexpr std::size_t largest_connections = 21;
+
     [[nodiscard]] unsigned short port() const
     {
         return m_port;
@@ -56,6 +59,8 @@
     bool m_has_no_slot = false;
     // How late it shows what it has received.
     std::chrono::milliseconds m_lag{20};
+    // How long one request takes.
+    std::chrono::milliseconds m_work_time{4};
     std::uint64_t m_term = 1;
     std::vector<commit_ptr> m_log;
     std::size_t m_applied = 0;
@@ -66,6 +71,10 @@
     struct connection;
 
     void accept();
+    // Works on the request, now or when a slot is free.
+    void admit(const std::shared_ptr<connection>& from,
+               const std::string& line);
+    void work_on();
 
     asio::io_context& m_loop;
     group& m_owner;
@@ -74,6 +83,10 @@
     unsigned short m_port;
     std::optional<tcp::acceptor> m_acceptor;
     std::vector<std::shared_ptr<connection>> m_connections;
+    // Counts its starts; work of an earlier process is not finished.
+    std::uint64_t m_process = 0;
+    std::size_t m_working = 0;
+    std::deque<std::pair<std::shared_ptr<connection>, std::string>> m_queue;
     // When each entry of the log that is not applied yet was received.
     std::deque<clock::time_point> m_received;
 };
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t largest_overlap = 4;
 constexpr std::size_t kinds_of_each = 5;
+constexpr std::chrono::milliseconds usual_work_time{4};
+// Fills the slots of the endpoints that are left.
+constexpr std::chrono::milliseconds work_time_in_burst{16};
 
 const char* const domains[] = {"d0", "d1", "d2"};
 // The bound of an evacuation with some time to spare.
@@ -24,6 +27,48 @@
     return [] {};
 }
 
+// Crashes endpoints and starts them again, by turns, until its end.
+class crashes_by_turns : public std::enable_shared_from_this<crashes_by_turns>
+{
+public:
+    crashes_by_turns(asio::io_context& loop, std::mt19937& random,
+                     std::vector<endpoint*> hit)
+        : m_timer(loop), m_random(random), m_hit(std::move(hit))
+    {
+    }
+
+    void turn()
+    {
+        for (endpoint* item : m_hit)
+            if (item->runs())
+                item->crash();
+            else
+                item->start();
+        m_timer.expires_after(
+            std::chrono::milliseconds(200 + m_random() % 900));
+        m_timer.async_wait(
+            [self = shared_from_this()](boost::system::error_code failed)
+            {
+                if (!failed && !self->m_ended)
+                    self->turn();
+            });
+    }
+
+    void end()
+    {
+        m_ended = true;
+        m_timer.cancel();
+        for (endpoint* item : m_hit)
+            item->start();
+    }
+
+private:
+    asio::steady_timer m_timer;
+    std::mt19937& m_random;
+    std::vector<endpoint*> m_hit;
+    bool m_ended = false;
+};
+
 } // namespace
 
 fault_plan::fault_plan(world& where, std::mt19937& random)
@@ -142,7 +187,7 @@
     std::string name;
     std::function<void()> undo;
     const std::size_t kind = draw(kinds_of_each);
-    const std::size_t about = draw(6);
+    const std::size_t about = draw(7);
     // The last kind of a host's faults is a pause.
     const bool of_store =
         about == 1 || about == 2 || (about == 0 && kind + 1 == kinds_of_each);
@@ -166,6 +211,9 @@
     case 4:
         undo = begin_on_commits(kind, name);
         break;
+    case 5:
+        undo = begin_burst(kind, name);
+        break;
     default:
         undo = change_something(kind, name);
         break;
@@ -426,6 +474,40 @@
     };
 }
 
+// Replicas crash and return by turns while callers ask without a pause, so that
+// statements wait for an endpoint in the moment in which it is back.
+std::function<void()> fault_plan::begin_burst(std::size_t kind,
+                                              std::string& name)
+{
+    std::vector<endpoint*> hit;
+    for (const auto& item : m_world.m_groups)
+        for (const auto& each : item->endpoints())
+            if (each.get() != &item->leader())
+                hit.push_back(each.get());
+    // A part of the replicas, or all of them.
+    if (kind < 3)
+        hit = {hit[draw(hit.size())]};
+    name = absl::StrCat("burst with ", hit.size(), " replicas down by turns");
+    const auto turns =
+        std::make_shared<crashes_by_turns>(m_world.m_loop, m_random, hit);
+    turns->turn();
+    world& where = m_world;
+    const auto set_work_time = [&where](std::chrono::milliseconds time)
+    {
+        for (const auto& item : where.m_groups)
+            for (const auto& each : item->endpoints())
+                each->m_work_time = time;
+    };
+    ++where.m_callers->m_bursts;
+    set_work_time(work_time_in_burst);
+    return [turns, set_work_time, &where]
+    {
+        turns->end();
+        if (--where.m_callers->m_bursts == 0)
+            set_work_time(usual_work_time);
+    };
+}
+
 std::function<void()> fault_plan::change_something(std::size_t kind,
                                                    std::string& name)
 {
--- a/test/soak/faults.hpp
+++ b/test/soak/faults.hpp
@@ -48,6 +48,8 @@
                                                           std::string& name);
     [[nodiscard]] std::function<void()> begin_on_commits(std::size_t kind,
                                                          std::string& name);
+    [[nodiscard]] std::function<void()> begin_burst(std::size_t kind,
+                                                    std::string& name);
     [[nodiscard]] std::function<void()> change_something(std::size_t kind,
                                                          std::string& name);
 
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -168,8 +168,11 @@
                      {
                          return judge_key(host, key);
                      },
-                     {},
-                     false});
+                     [this](std::size_t host, clock::time_point since)
+                     {
+                         return ran_since(host, since);
+                     },
+                     {}});
     for (std::size_t index = 0; index < organisations; ++index)
     {
         m_keys.push_back(absl::StrCat("secret-", index, "-1"));
@@ -201,7 +204,7 @@
              {"service", item.m_group}});
     for (const auto& item : m_groups)
         all["services"].push_back({{"name", item->name()},
-                                   {"max_conns", 40},
+                                   {"max_conns", endpoint::largest_connections},
                                    {"sync_replicas", item->sync_replicas()}});
     for (std::size_t index = 0; index < organisations; ++index)
     {
@@ -232,6 +235,13 @@
            now - std::max(item.m_started, m_store_disturbed) > contact;
 }
 
+bool world::ran_since(std::size_t host, clock::time_point since) const
+{
+    const entry_host& item = m_hosts[host];
+    return item.m_process && !item.m_stopped && item.m_started <= since &&
+           item.m_resumed <= since;
+}
+
 key_verdict world::judge_key(std::size_t host, const std::string& key) const
 {
     if (!is_in_touch(host))
@@ -308,6 +318,7 @@
     if (host.m_process)
         host.m_process->signal(SIGCONT);
     host.m_stopped = false;
+    host.m_resumed = clock::now();
 }
 
 void world::run_for(std::chrono::milliseconds span)
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -50,6 +50,7 @@
     bool m_peers_cut = false;
     clock::time_point m_started;
     bool m_stopped = false;
+    clock::time_point m_resumed;
     // Starts again when the process has ended.
     bool m_wanted = false;
     // A planned stop is under way; when it has to be over.
@@ -119,6 +120,8 @@
     std::map<std::string, clock::time_point> m_withdrawn;
     // True when the host has been without trouble for the time of contact.
     [[nodiscard]] bool is_in_touch(std::size_t host) const;
+    [[nodiscard]] bool ran_since(std::size_t host,
+                                 clock::time_point since) const;
     [[nodiscard]] key_verdict judge_key(std::size_t host,
                                         const std::string& key) const;
 };
