Soak: soaks beside each other take ports from ranges of their own

Each soak now keeps the first port of one of ten ranges bound until it ends, and chooses from that range only. Four soaks started together: all four ran to their end.

--- a/test/soak/relay.cpp
+++ b/test/soak/relay.cpp
@@ -1,7 +1,12 @@
 #include "relay.hpp"
 
+#include <arpa/inet.h>
+#include <cstdint>
 #include <deque>
+#include <netinet/in.h>
+#include <stdexcept>
 #include <string>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace magnoliastack::soak
@@ -21,7 +26,33 @@
 // Below the range from which the system takes ports for outgoing connections,
 // so that none takes a host's port while the host is down.
 constexpr unsigned lowest_port = 11'000;
-constexpr unsigned ports = 15'000;
+constexpr unsigned ranges = 10;
+constexpr unsigned ports_in_range = 1'500;
+
+// True when this process has the port from now on until its end.
+bool take_port(unsigned port)
+{
+    const int bound = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (bound >= 0 && ::bind(bound, reinterpret_cast<sockaddr*>(&address),
+                             sizeof address) == 0)
+        return true;
+    ::close(bound);
+    return false;
+}
+
+// The first port of a range that this soak has for itself. Two soaks that chose
+// free ports from one range could choose the same one before either used it.
+unsigned reserve_range()
+{
+    for (unsigned range = 0; range < ranges; ++range)
+        if (take_port(lowest_port + range * ports_in_range))
+            return lowest_port + range * ports_in_range;
+    throw std::runtime_error("too many soaks beside each other");
+}
 
 void abort_socket(tcp::socket& socket)
 {
@@ -34,11 +65,12 @@
 
 unsigned short unused_port(asio::io_context& loop)
 {
-    static unsigned next = static_cast<unsigned>(getpid()) * 61;
+    static const unsigned first = reserve_range();
+    static unsigned next = 0;
     while (true)
     {
-        const auto port =
-            static_cast<unsigned short>(lowest_port + next++ % ports);
+        const auto port = static_cast<unsigned short>(
+            first + 1 + next++ % (ports_in_range - 1));
         error_code error;
         tcp::acceptor probe(loop);
         probe.open(tcp::v4(), error);
