--- a/utils/check.sh
+++ b/utils/check.sh
@@ -28,5 +28,6 @@
     done < <(grep -oE '\[FAIL\] [a-z_0-9]+::[a-z_0-9]+' "$build/ctest.log" |
         cut -d' ' -f2)
 fi
+utils/sanitize.sh --short
 # Again, for what the tests have left.
 utils/words.sh
