Tests: a port with ended connections is a free port

This is the cause that KNOWN-RED.txt names for fleet::a_drain_by_command_ends_the_process: can_bind counted ports in TIME-WAIT as taken, and its process has 20 of them; 101,922 sockets were in that state afterwards. The processes under test listen with SO_REUSEADDR, so the look does it too.

--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -103,6 +103,10 @@
 bool can_bind(int port)
 {
     const int socket_fd = socket(AF_INET, SOCK_STREAM, 0);
+    // A listener may take a port with ended connections in TIME-WAIT; after a
+    // soak thousands of ports are in that state.
+    const int reuse = 1;
+    setsockopt(socket_fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
