--- a/utils/sanitize.sh
+++ b/utils/sanitize.sh
@@ -24,6 +24,8 @@
 fi
 # shellcheck disable=SC2086
 utils/build.sh $jobs
+code=0
 ctest --test-dir "$BUILD_DIR" --output-on-failure --no-tests=error \
-    -R '^unit\.' -j 2
-utils/soak.sh "${1:-1}" "${2:-50}" "${3:-2}"
+    -R '^unit\.' -j 2 || code=1
+utils/soak.sh "${1:-1}" "${2:-50}" "${3:-2}" || code=1
+exit "$code"
